--- /dev/null
+++ b/include/kumquatdrift/claims/port.hpp
@@ -0,0 +1,88 @@
+#ifndef KUMQUATDRIFT_CLAIMS_PORT_HPP
+#define KUMQUATDRIFT_CLAIMS_PORT_HPP
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include <kumquatdrift/claims/fwd.hpp>
+#include <kumquatdrift/core/enum_names.hpp>
+#include <kumquatdrift/core/time.hpp>
+
+namespace kumquatdrift {
+
+/*! @brief Outcome of a claim on an idempotency key. */
+enum class claim_outcome : std::uint8_t {
+    /*! @brief This attempt holds the key and may run the request once. */
+    granted,
+    /*! @brief An earlier attempt completed; its answer is stored. */
+    completed,
+    /*! @brief An earlier attempt holds the key and may have run. */
+    claimed,
+    /*! @brief The claim could not be decided in time; nothing may run under it. */
+    unavailable,
+};
+
+/*! @brief Names of the claim outcomes. */
+template<>
+struct enum_names<claim_outcome> {
+    /*! @brief Pairs of enumerator and name. */
+    static constexpr std::array<std::pair<claim_outcome, std::string_view>, 4> table{{
+        {claim_outcome::granted, "granted"},
+        {claim_outcome::completed, "completed"},
+        {claim_outcome::claimed, "claimed"},
+        {claim_outcome::unavailable, "unavailable"},
+    }};
+};
+
+/*! @brief Answer of a target, stored with a completed claim. */
+struct stored_answer {
+    /*! @brief HTTP status code. */
+    std::uint16_t status{};
+    /*! @brief Content type. */
+    std::string content_type{};
+    /*! @brief Body, if it is small enough to be stored. */
+    std::optional<std::string> body{};
+};
+
+/*! @brief A claim on an idempotency key. */
+struct claim_request {
+    /*! @brief Name of the route. */
+    std::string route{};
+    /*! @brief Idempotency key sent by the caller. */
+    std::string key{};
+    /*! @brief Id of this attempt, unique in the mesh. */
+    std::string attempt{};
+    /*! @brief Time until which an answer is of use. */
+    timestamp deadline{};
+};
+
+/*! @brief Answer to a claim. */
+struct claim_answer {
+    /*! @brief Outcome. */
+    claim_outcome outcome{claim_outcome::unavailable};
+    /*! @brief Stored answer. Present only if the outcome is `completed`. */
+    std::optional<stored_answer> answer{};
+    /*! @brief Suggested time until the caller asks again. */
+    milliseconds retry_after{1'000};
+    /*! @brief Reason if the outcome is `unavailable`. */
+    std::string reason{};
+};
+
+/*! @brief Port to the claims on idempotency keys. All members may be called from any thread. */
+struct claim_port {
+    /*! @brief Claims a key. Blocks until decided or until the deadline. */
+    std::function<claim_answer(const claim_request&)> claim{};
+    /*! @brief Stores the answer of the attempt that holds the key. Does not block. */
+    std::function<void(const claim_request&, stored_answer)> complete{};
+    /*! @brief Gives the key up; only for an attempt that certainly was not run. Does not block. */
+    std::function<void(const claim_request&)> release{};
+};
+
+} // namespace kumquatdrift
+
+#endif
--- /dev/null
+++ b/include/kumquatdrift/core/rendezvous.hpp
@@ -0,0 +1,27 @@
+#ifndef KUMQUATDRIFT_CORE_RENDEZVOUS_HPP
+#define KUMQUATDRIFT_CORE_RENDEZVOUS_HPP
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace kumquatdrift {
+
+/**
+ * @brief Ranks members for a key by rendezvous (highest random weight) hashing.
+ *
+ * The result does not depend on the order of the members. Removing one member moves no other member
+ * relative to the rest.
+ *
+ * @param key The key.
+ * @param members Names of the members, without duplicates.
+ * @param count Largest number of members to return.
+ * @return The first `count` members by rank.
+ */
+[[nodiscard]] std::vector<std::string> rendezvous_rank(std::string_view key, std::vector<std::string> members,
+                                                       std::size_t count);
+
+} // namespace kumquatdrift
+
+#endif
