--- /dev/null
+++ b/include/kumquatdrift/membership/relays.hpp
@@ -0,0 +1,41 @@
+#ifndef KUMQUATDRIFT_MEMBERSHIP_RELAYS_HPP
+#define KUMQUATDRIFT_MEMBERSHIP_RELAYS_HPP
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <kumquatdrift/membership/types.hpp>
+
+namespace kumquatdrift {
+
+/**
+ * @brief Returns the number of relays of a data centre: one percent of its members, at least two.
+ * @param members Number of live members.
+ * @return max(2, members / 100 rounded up).
+ */
+[[nodiscard]] std::size_t relay_count(std::size_t members) noexcept;
+
+/**
+ * @brief Checks whether a member can be a relay: it is not dead and neither draining nor left.
+ *
+ * Suspects count, so that a false suspicion moves no relay. Unreachable members count, because either all
+ * members of a data centre are unreachable or none.
+ *
+ * @param entry The member.
+ * @return True if it can be a relay.
+ */
+[[nodiscard]] bool can_relay(const member_entry& entry) noexcept;
+
+/**
+ * @brief Returns the relays of a data centre in a view, by rendezvous rank.
+ * @param view Member view.
+ * @param data_centre Name of the data centre.
+ * @return Names of the relays, the highest rank first. Fewer than two if the data centre is that small.
+ */
+[[nodiscard]] std::vector<std::string> relays_of(const member_view& view, std::string_view data_centre);
+
+} // namespace kumquatdrift
+
+#endif
