--- /dev/null
+++ b/include/kumquatdrift/traffic/fwd.hpp
@@ -0,0 +1,33 @@
+#ifndef KUMQUATDRIFT_TRAFFIC_FWD_HPP
+#define KUMQUATDRIFT_TRAFFIC_FWD_HPP
+
+#include <cstdint>
+
+namespace kumquatdrift {
+
+enum class admission_kind : std::uint8_t;
+enum class rejection : std::uint8_t;
+enum class run_outcome : std::uint8_t;
+enum class cancel_outcome : std::uint8_t;
+struct admission_settings;
+struct admission_request;
+struct admission_decision;
+class admission;
+
+class retry_budget;
+struct failed_attempt;
+struct retry_decision;
+
+enum class quarantine_action : std::uint8_t;
+struct quarantine_decision;
+struct crash_evidence;
+struct crash_advisory;
+class crash_quarantine;
+
+enum class hop_peer : std::uint8_t;
+enum class hop_end : std::uint8_t;
+struct hop_observation;
+
+} // namespace kumquatdrift
+
+#endif
--- /dev/null
+++ b/src/routing/match.cpp
@@ -0,0 +1,124 @@
+#include <kumquatdrift/routing/match.hpp>
+
+#include <algorithm>
+
+namespace kumquatdrift {
+namespace {
+
+char to_lower(char letter) noexcept
+{
+    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
+}
+
+std::string_view without_port(std::string_view host) noexcept
+{
+    if (host.starts_with('[')) {
+        return host.substr(0, host.find(']') + 1);
+    }
+    return host.substr(0, host.find(':'));
+}
+
+std::string normalised_host(std::string_view host)
+{
+    std::string lowered{without_port(host)};
+    std::transform(lowered.begin(), lowered.end(), lowered.begin(), to_lower);
+    return lowered;
+}
+
+// "%2e" is a dot for every target that decodes the path before it resolves it.
+bool is_dot_segment(std::string_view segment) noexcept
+{
+    std::size_t dots = 0;
+    while (!segment.empty()) {
+        const auto is_encoded =
+            segment.size() >= 3 && segment.starts_with("%2") && to_lower(segment[2]) == 'e';
+        if (!is_encoded && segment.front() != '.') {
+            return false;
+        }
+        segment.remove_prefix(is_encoded ? 3 : 1);
+        ++dots;
+    }
+    return dots == 1 || dots == 2;
+}
+
+bool is_well_formed(std::string_view path) noexcept
+{
+    if (!path.starts_with('/')) {
+        return false;
+    }
+    while (!path.empty()) {
+        path.remove_prefix(1);
+        const auto end = std::min(path.find('/'), path.size());
+        if (is_dot_segment(path.substr(0, end))) {
+            return false;
+        }
+        path.remove_prefix(end);
+    }
+    return true;
+}
+
+bool covers(std::string_view prefix, std::string_view path) noexcept
+{
+    if (!path.starts_with(prefix)) {
+        return false;
+    }
+    return prefix.ends_with('/') || path.size() == prefix.size() || path[prefix.size()] == '/';
+}
+
+bool covers(const route_config& route, std::string_view host, std::string_view path) noexcept
+{
+    return (route.host.empty() || route.host == host) && covers(route.path_prefix, path);
+}
+
+bool allows(const route_config& route, std::string_view method) noexcept
+{
+    return route.methods.empty() ||
+           std::find(route.methods.begin(), route.methods.end(), method) != route.methods.end();
+}
+
+std::string_view without_query(std::string_view path) noexcept
+{
+    return path.substr(0, path.find_first_of("?#"));
+}
+
+} // namespace
+
+route_match match_route(const routing_snapshot& snapshot, std::string_view host, std::string_view path,
+                        std::string_view method)
+{
+    path = without_query(path);
+    if (!is_well_formed(path)) {
+        return {.kind = match_kind::malformed_path, .route = std::nullopt};
+    }
+    const auto lowered = normalised_host(host);
+    route_match outcome{};
+    for (std::size_t index = 0; index < snapshot.routes.size(); ++index) {
+        const auto& route = snapshot.routes[index].config;
+        if (!covers(route, lowered, path)) {
+            continue;
+        }
+        if (allows(route, method)) {
+            return {.kind = match_kind::matched, .route = index};
+        }
+        outcome.kind = match_kind::method_not_allowed;
+    }
+    return outcome;
+}
+
+std::vector<std::string> allowed_methods(const routing_snapshot& snapshot, std::string_view host,
+                                         std::string_view path)
+{
+    path = without_query(path);
+    const auto lowered = normalised_host(host);
+    std::vector<std::string> methods;
+    for (const auto& route : snapshot.routes) {
+        if (covers(route.config, lowered, path)) {
+            methods.insert(methods.end(), route.config.methods.begin(), route.config.methods.end());
+        }
+    }
+    std::sort(methods.begin(), methods.end());
+    methods.erase(std::unique(methods.begin(), methods.end()), methods.end());
+    return methods;
+}
+
+} // namespace kumquatdrift
--- /dev/null
+++ b/src/traffic/verdicts.cpp
@@ -0,0 +1,58 @@
+#include <kumquatdrift/traffic/verdicts.hpp>
+
+namespace kumquatdrift {
+namespace {
+
+constexpr std::uint16_t first_error_status = 400;
+constexpr std::uint16_t first_server_error_status = 500;
+constexpr std::uint16_t too_many_requests = 429;
+
+verdict verdict_of_answer(const hop_observation& observation) noexcept
+{
+    const auto status = observation.status.value_or(0);
+    if (!observation.verdict_text) {
+        // A server error without a statement does not say how far the target came.
+        const auto is_unclear =
+            status < 100 || status >= first_server_error_status || status == too_many_requests;
+        return is_unclear ? verdict::may_have_run : verdict::ran;
+    }
+    const auto stated = from_name<verdict>(*observation.verdict_text);
+    if (!stated) {
+        return verdict::may_have_run;
+    }
+    const auto contradicts = *stated == verdict::not_run && status < first_error_status;
+    return contradicts ? verdict::may_have_run : *stated;
+}
+
+} // namespace
+
+verdict verdict_of(const hop_observation& observation) noexcept
+{
+    switch (observation.end) {
+    case hop_end::answered:
+        return verdict_of_answer(observation);
+    case hop_end::not_sent:
+    case hop_end::queue_timed_out:
+    case hop_end::connect_refused:
+    case hop_end::connect_timed_out:
+    case hop_end::connection_lost:
+    case hop_end::timed_out:
+    case hop_end::cancelled:
+    case hop_end::malformed_answer:
+        return observation.bytes_sent == 0 ? verdict::not_run : verdict::may_have_run;
+    }
+    return verdict::may_have_run;
+}
+
+bool suggests_crash(const hop_observation& observation) noexcept
+{
+    return observation.peer == hop_peer::target && observation.end == hop_end::connection_lost &&
+           observation.bytes_sent > 0;
+}
+
+bool is_reusable(const hop_observation& observation) noexcept
+{
+    return observation.end == hop_end::answered;
+}
+
+} // namespace kumquatdrift
