Add the configuration fold, recovery, version gate and the HTTP log port

Documents are immutable JSON in canonical form, so that the digest of a checkpoint does not depend on the order in which members were written. The fold remembers the last 256 edit ids as part of the state and of each checkpoint; a reader that starts at a checkpoint would otherwise judge a copy of an invalid edit again and disagree with the nodes that saw the first copy. The parent check alone does not cover that case.

--- /dev/null
+++ b/include/kumquatdrift/config/document.hpp
@@ -0,0 +1,135 @@
+#ifndef KUMQUATDRIFT_CONFIG_DOCUMENT_HPP
+#define KUMQUATDRIFT_CONFIG_DOCUMENT_HPP
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <kumquatdrift/config/fwd.hpp>
+#include <kumquatdrift/config/types.hpp>
+#include <kumquatdrift/core/result.hpp>
+
+namespace kumquatdrift {
+
+namespace internal {
+
+struct json_tree;
+
+} // namespace internal
+
+/*! @brief Name of the base document. */
+inline constexpr std::string_view base_document = "base";
+
+/*! @brief Prefix of the names of overlay documents; the data centre follows. */
+inline constexpr std::string_view overlay_prefix = "overlay/";
+
+/*! @brief Largest document in bytes of canonical text. Bounds the memory that a node needs for a fold. */
+inline constexpr std::size_t max_document_bytes = 1024 * 1024;
+
+/*! @brief Largest number of overlays. Every base edit is validated against each of them. */
+inline constexpr std::size_t max_overlays = 64;
+
+/*! @brief Immutable JSON object in canonical form. Copies share it and may be read by many threads. */
+class json_document {
+public:
+    /*! @brief Constructs the empty object. */
+    json_document();
+
+    /**
+     * @brief Takes over a tree that nothing modifies any more.
+     * @param tree The tree.
+     */
+    explicit json_document(std::shared_ptr<const internal::json_tree> tree) noexcept;
+
+    /**
+     * @brief Parses JSON text. Comments are not allowed.
+     * @param text UTF-8 text of a JSON object.
+     * @return The document, or what is wrong with the text.
+     */
+    [[nodiscard]] static result<json_document> parse(std::string_view text);
+
+    /**
+     * @brief Returns the canonical text: members in byte order of their names, no white space.
+     * @return The text.
+     */
+    [[nodiscard]] const std::string& text() const noexcept;
+
+    /**
+     * @brief Formats the document for people.
+     * @return Text with line breaks and an indentation of two spaces.
+     */
+    [[nodiscard]] std::string pretty() const;
+
+    /**
+     * @brief Returns the parsed form.
+     * @return The tree, which must not be modified.
+     */
+    [[nodiscard]] const internal::json_tree& tree() const noexcept;
+
+    /*! @brief Compares the canonical texts. */
+    [[nodiscard]] friend bool operator==(const json_document& left, const json_document& right) noexcept
+    {
+        return left.shared == right.shared || left.text() == right.text();
+    }
+
+private:
+    std::shared_ptr<const internal::json_tree> shared;
+};
+
+/**
+ * @brief Applies a JSON merge patch (RFC 7396).
+ * @param target Document to patch.
+ * @param patch The patch.
+ * @return The patched document.
+ */
+[[nodiscard]] json_document merge_patch(const json_document& target, const json_document& patch);
+
+/**
+ * @brief Computes the smallest merge patch that turns one document into another.
+ * @param from Document before.
+ * @param to Document after.
+ * @return The patch, or a reason if `to` has a null member, which no merge patch can produce.
+ */
+[[nodiscard]] result<json_document> make_patch(const json_document& from, const json_document& to);
+
+/**
+ * @brief Returns the document name of the overlay of a data centre.
+ * @param data_centre Name of the data centre.
+ * @return The document name.
+ */
+[[nodiscard]] std::string overlay_name(std::string_view data_centre);
+
+/**
+ * @brief Returns the data centre of an overlay.
+ * @param document Document name.
+ * @return The data centre, or nothing if the name is not that of an overlay.
+ */
+[[nodiscard]] std::optional<std::string> overlay_data_centre(std::string_view document);
+
+/**
+ * @brief Checks the name of a document.
+ * @param document Document name.
+ * @return The name, or what is accepted.
+ */
+[[nodiscard]] result<std::string> validate_document_name(std::string_view document);
+
+/**
+ * @brief Validates a complete configuration, such as a base or a merge of base and overlay.
+ * @param document The configuration.
+ * @return The typed configuration without version and data centre, or the JSON place of the first error with
+ * what is accepted there.
+ */
+[[nodiscard]] result<effective_config> validate_config(const json_document& document);
+
+/**
+ * @brief Validates an overlay by itself: known members, types and ranges; null removes a member.
+ * @param overlay The overlay.
+ * @return The overlay, or the JSON place of the first error with what is accepted there.
+ */
+[[nodiscard]] result<json_document> validate_overlay(const json_document& overlay);
+
+} // namespace kumquatdrift
+
+#endif
--- a/include/kumquatdrift/log/fwd.hpp
+++ b/include/kumquatdrift/log/fwd.hpp
@@ -8,6 +8,7 @@
 struct log_bounds;
 struct append_result;
 struct log_port;
+struct http_log_settings;
 
 } // namespace kumquatdrift
 
--- /dev/null
+++ b/include/kumquatdrift/log/http.hpp
@@ -0,0 +1,44 @@
+#ifndef KUMQUATDRIFT_LOG_HTTP_HPP
+#define KUMQUATDRIFT_LOG_HTTP_HPP
+
+#include <cstddef>
+#include <string>
+
+#include <kumquatdrift/core/result.hpp>
+#include <kumquatdrift/core/time.hpp>
+#include <kumquatdrift/log/port.hpp>
+
+namespace kumquatdrift {
+
+/*! @brief Settings of the HTTP client of the log service. */
+struct http_log_settings {
+    /*! @brief Address of the log service, `http://IP:PORT` or `IP:PORT`. */
+    std::string url{};
+    /*! @brief Longest time to establish a connection. */
+    milliseconds connect_timeout{1'000};
+    /*! @brief Longest time without progress of an answer, beyond the wait of a long poll. */
+    milliseconds answer_timeout{3'000};
+    /*! @brief Idle connections kept open for reuse. */
+    std::size_t max_idle_connections{4};
+    /*! @brief Time after which an idle connection is not reused. Must be shorter than the service's own
+     * limit (15 s), or an append on a connection that the service closes would end as `may_have_run`. */
+    milliseconds idle_timeout{5'000};
+    /*! @brief Largest answer in bytes. */
+    std::size_t max_answer_bytes{64 * 1024 * 1024};
+};
+
+/**
+ * @brief Makes a port to the log service over HTTP/1.1 with reused connections.
+ *
+ * An append is `not_run` if no connection was established or the service refused it (status 4xx or 503),
+ * and `may_have_run` if the answer is missing or unusable. A read is sent a second time if a reused
+ * connection turns out to be closed; an append is not.
+ *
+ * @param settings Settings.
+ * @return The port, or what is wrong with the settings. Opens no connection yet.
+ */
+[[nodiscard]] result<log_port> make_http_log_port(const http_log_settings& settings);
+
+} // namespace kumquatdrift
+
+#endif
--- /dev/null
+++ b/src/config/decode.cpp
@@ -0,0 +1,261 @@
+#include "decode.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include <kumquatdrift/core/digest.hpp>
+
+#include "names.hpp"
+#include "reading.hpp"
+#include "validation.hpp"
+
+namespace kumquatdrift::internal {
+
+namespace {
+
+constexpr std::size_t longest_edit_id = 64;
+constexpr std::size_t longest_author = 128;
+constexpr std::uint64_t largest_offset = (1ULL << 63U) - 1;
+
+/*! @brief An edit as it is read. */
+struct edit_target {
+    edit_record edit{};
+    bool has_parent{};
+};
+
+void ignore(const json_value&, edit_target&, reading&) {}
+
+void read_parent(const json_value& value, edit_target& into, reading& in)
+{
+    into.has_parent = true;
+    if (!value.isEmpty() && value.isInteger() && value.isSigned() && value.convert<std::int64_t>() == -1) {
+        return;
+    }
+    into.edit.parent = read_integer(value, {0, largest_offset}, in);
+}
+
+std::optional<json_document> read_document(const json_value& value, reading& in)
+{
+    const auto* const object = as_object(value);
+    if (object == nullptr) {
+        in.fail(std::string{type_name(value)} + " found; accepted is an object");
+        return std::nullopt;
+    }
+    return to_document(*object);
+}
+
+constexpr std::array<member_rule<edit_target>, 8> edit_rules{{
+    {"format", ignore},
+    {"kind", ignore},
+    {"document",
+     [](const auto& value, auto& into, auto& in) {
+         into.edit.document = read_string(value, in);
+         const auto name = validate_document_name(into.edit.document);
+         if (!name) {
+             in.fail(name.last_reason());
+         }
+     }},
+    {"parent", read_parent},
+    {"edit_id",
+     [](const auto& value, auto& into, auto& in) {
+         into.edit.edit_id = read_string(value, in);
+         if (!consists_of(into.edit.edit_id, "-_.", longest_edit_id)) {
+             in.fail("not an edit id; accepted are 1 to 64 letters, digits, '-', '_' or '.'");
+         }
+     }},
+    {"author",
+     [](const auto& value, auto& into, auto& in) {
+         into.edit.author = read_string(value, in);
+         if (into.edit.author.size() > longest_author) {
+             in.fail("too long; accepted are up to 128 bytes");
+         }
+     }},
+    {"content",
+     [](const auto& value, auto& into, auto& in) { into.edit.content = read_document(value, in); }},
+    {"patch", [](const auto& value, auto& into, auto& in) { into.edit.patch = read_document(value, in); }},
+}};
+
+std::string missing_part(const edit_target& target)
+{
+    const auto& edit = target.edit;
+    if (edit.document.empty() || edit.edit_id.empty() || !target.has_parent) {
+        return "an edit needs the members document, parent and edit_id";
+    }
+    if (edit.content.has_value() == edit.patch.has_value()) {
+        return "an edit needs exactly one of content and patch";
+    }
+    if (edit.patch && edit.document != base_document) {
+        return "an overlay edit needs content: a merge patch cannot set a member to null";
+    }
+    return {};
+}
+
+std::optional<std::uint64_t> unsigned_member(const object_ptr& object, const std::string& name)
+{
+    const auto value = object->get(name);
+    reading in;
+    const auto number = read_integer(value, {0, largest_offset}, in);
+    return in.failed() ? std::nullopt : std::optional{number};
+}
+
+std::string string_member(const object_ptr& object, const std::string& name)
+{
+    const auto value = object->get(name);
+    const auto* const text = as_string(value);
+    return text != nullptr ? *text : std::string{};
+}
+
+bool decode_documents(const object_ptr& stored, config_state& state)
+{
+    const auto value = stored->get("documents");
+    const auto* const documents = as_object(value);
+    if (documents == nullptr) {
+        return false;
+    }
+    for (const auto& [name, member] : std::as_const(**documents)) {
+        const auto* const object = as_object(member);
+        if (object == nullptr || !validate_document_name(name)) {
+            return false;
+        }
+        const auto content = (*object)->get("content");
+        const auto* const tree = as_object(content);
+        const auto offset = unsigned_member(*object, "offset");
+        if (tree == nullptr || !offset || *offset >= state.version) {
+            return false;
+        }
+        auto document = to_document(*tree);
+        if (name != base_document && !validate_overlay(document)) {
+            return false;
+        }
+        state.documents.emplace(name, document_state{std::move(document), *offset,
+                                                     string_member(*object, "edit_id"),
+                                                     string_member(*object, "author")});
+    }
+    return true;
+}
+
+bool decode_edits(const object_ptr& stored, config_state& state)
+{
+    const auto value = stored->get("edits");
+    const auto* const edits = as_array(value);
+    if (edits == nullptr || (*edits)->size() > max_remembered_edits) {
+        return false;
+    }
+    for (const auto& element : **edits) {
+        const auto* const object = as_object(element);
+        const auto offset = object != nullptr ? unsigned_member(*object, "offset") : std::nullopt;
+        const auto ordered = offset && *offset < state.next_offset &&
+                             (state.edits.empty() || state.edits.back().offset < *offset);
+        if (!ordered) {
+            return false;
+        }
+        state.edits.push_back({*offset, string_member(*object, "edit_id")});
+    }
+    return true;
+}
+
+/*! @brief Checks that the version is that of the newest document. */
+bool version_fits(const config_state& state)
+{
+    config_version newest = 0;
+    for (const auto& [name, document] : state.documents) {
+        newest = std::max(newest, document.offset + 1);
+    }
+    return newest == state.version && state.version <= state.next_offset;
+}
+
+} // namespace
+
+record_envelope open_record(std::string_view payload)
+{
+    const auto object = parse_object(payload);
+    if (!object) {
+        return {record_kind::invalid, {}, object.last_reason()};
+    }
+    const auto format = unsigned_member(*object, "format");
+    if (!format || *format == 0) {
+        return {record_kind::invalid, *object, "the record has no valid format number"};
+    }
+    if (*format > record_format) {
+        return {record_kind::newer, *object,
+                "the record has format " + std::to_string(*format) + "; this release reads up to " +
+                    std::to_string(record_format) + ", upgrade it"};
+    }
+    const auto kind = string_member(*object, "kind");
+    if (kind == "edit") {
+        return {record_kind::edit, *object, {}};
+    }
+    if (kind == "checkpoint") {
+        return {record_kind::checkpoint, *object, {}};
+    }
+    return {record_kind::invalid, *object,
+            "the record kind is \"" + kind + "\"; accepted are edit and checkpoint"};
+}
+
+result<edit_record> decode_edit(const object_ptr& record)
+{
+    reading in;
+    edit_target target;
+    read_members<edit_target>(record, edit_rules, target, false, in);
+    if (in.failed()) {
+        return failure{in.first_error()};
+    }
+    auto missing = missing_part(target);
+    if (!missing.empty()) {
+        return failure{std::move(missing)};
+    }
+    return std::move(target.edit);
+}
+
+result<config_state> decode_checkpoint(const object_ptr& record)
+{
+    const auto covers = unsigned_member(record, "covers");
+    const auto value = record->get("state");
+    const auto* const stored = as_object(value);
+    if (!covers || stored == nullptr) {
+        return failure{"the checkpoint lacks covers or state"};
+    }
+    if (to_hex(digest(to_text(*stored), *covers)) != string_member(record, "digest")) {
+        return failure{"the digest of the checkpoint does not match"};
+    }
+    const auto version = unsigned_member(*stored, "version");
+    config_state state{.next_offset = *covers, .version = version.value_or(0)};
+    if (!version || !decode_documents(*stored, state) || !decode_edits(*stored, state) ||
+        !version_fits(state)) {
+        return failure{"the state in the checkpoint is not consistent"};
+    }
+    auto error = check_documents(state.documents);
+    if (!error.empty()) {
+        return failure{"the checkpoint is not valid: " + error};
+    }
+    return state;
+}
+
+std::string check_documents(const std::map<std::string, document_state>& documents)
+{
+    const auto base = documents.find(std::string{base_document});
+    if (base == documents.end()) {
+        return documents.empty() ? "" : "there is no base document yet; publish the base first";
+    }
+    if (documents.size() > max_overlays + 1) {
+        return "there are too many overlays; accepted are up to " + std::to_string(max_overlays);
+    }
+    const auto alone = validate_config(base->second.content);
+    if (!alone) {
+        return "base: " + alone.last_reason();
+    }
+    for (const auto& [name, overlay] : documents) {
+        if (name == base_document) {
+            continue;
+        }
+        const auto merged = apply_patch(base->second.content.tree().object, overlay.content.tree().object);
+        const auto config = read_config(merged, reading_mode::complete);
+        if (!config) {
+            return "base merged with " + name + ": " + config.last_reason();
+        }
+    }
+    return {};
+}
+
+} // namespace kumquatdrift::internal
--- /dev/null
+++ b/src/config/decode.hpp
@@ -0,0 +1,66 @@
+#ifndef KUMQUATDRIFT_SRC_CONFIG_DECODE_HPP
+#define KUMQUATDRIFT_SRC_CONFIG_DECODE_HPP
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <kumquatdrift/config/records.hpp>
+
+#include "json.hpp"
+
+namespace kumquatdrift::internal {
+
+/*! @brief Kind of a record as far as this release can tell. */
+enum class record_kind : std::uint8_t {
+    /*! @brief An edit. */
+    edit,
+    /*! @brief A checkpoint. */
+    checkpoint,
+    /*! @brief A record of a newer format. */
+    newer,
+    /*! @brief Anything else. */
+    invalid,
+};
+
+/*! @brief Envelope of a record. */
+struct record_envelope {
+    /*! @brief Kind of the record. */
+    record_kind kind{record_kind::invalid};
+    /*! @brief The record. Null if it is not a JSON object. */
+    object_ptr object{};
+    /*! @brief Why the kind is `newer` or `invalid`. */
+    std::string reason{};
+};
+
+/**
+ * @brief Parses a record and determines its kind.
+ * @param payload Payload of a log record.
+ * @return The envelope.
+ */
+[[nodiscard]] record_envelope open_record(std::string_view payload);
+
+/**
+ * @brief Decodes an edit.
+ * @param record Object of an envelope of kind `edit`.
+ * @return The edit, or what is wrong with it.
+ */
+[[nodiscard]] result<edit_record> decode_edit(const object_ptr& record);
+
+/**
+ * @brief Decodes and verifies a checkpoint.
+ * @param record Object of an envelope of kind `checkpoint`.
+ * @return The state, or why it must not be used.
+ */
+[[nodiscard]] result<config_state> decode_checkpoint(const object_ptr& record);
+
+/**
+ * @brief Checks that the base alone and the merge with every overlay are valid.
+ * @param documents All documents. Overlays have passed `validate_overlay`.
+ * @return An empty text, or the document and JSON place of the first error.
+ */
+[[nodiscard]] std::string check_documents(const std::map<std::string, document_state>& documents);
+
+} // namespace kumquatdrift::internal
+
+#endif
--- /dev/null
+++ b/src/config/json.cpp
@@ -0,0 +1,118 @@
+#include "json.hpp"
+
+#include <set>
+#include <sstream>
+#include <utility>
+#include <vector>
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/JSONException.h>
+#include <Poco/JSON/ParseHandler.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/JSON/Stringifier.h>
+
+namespace kumquatdrift::internal {
+
+namespace {
+
+template<typename Type>
+const Type* holds(const json_value& value) noexcept
+{
+    return !value.isEmpty() && value.type() == typeid(Type) ? &value.extract<Type>() : nullptr;
+}
+
+/*! @brief Rejects objects that name a member twice; of two routes with one name, one would be lost. */
+class unique_member_handler : public Poco::JSON::ParseHandler {
+public:
+    void startObject() override
+    {
+        this->names.emplace_back();
+        ParseHandler::startObject();
+    }
+
+    void endObject() override
+    {
+        this->names.pop_back();
+        ParseHandler::endObject();
+    }
+
+    void key(const std::string& name) override
+    {
+        if (!this->names.back().insert(name).second) {
+            throw Poco::JSON::JSONException{"member \"" + name + "\" appears twice in one object"};
+        }
+        ParseHandler::key(name);
+    }
+
+private:
+    std::vector<std::set<std::string>> names{};
+};
+
+} // namespace
+
+result<object_ptr> parse_object(std::string_view text)
+{
+    try {
+        Poco::JSON::Parser parser{new unique_member_handler};
+        const auto value = parser.parse(std::string{text});
+        if (const auto* const object = as_object(value)) {
+            return *object;
+        }
+        return failure{"not a JSON object"};
+    }
+    catch (const Poco::Exception& error) {
+        return failure{"not valid JSON: " +
+                       (error.message().empty() ? error.displayText() : error.message())};
+    }
+}
+
+std::string to_text(const json_value& value)
+{
+    std::ostringstream text;
+    Poco::JSON::Stringifier::condense(value, text);
+    return std::move(text).str();
+}
+
+json_document to_document(object_ptr object)
+{
+    auto text = to_text(object);
+    return json_document{std::make_shared<json_tree>(json_tree{std::move(object), std::move(text)})};
+}
+
+const object_ptr* as_object(const json_value& value) noexcept
+{
+    return holds<object_ptr>(value);
+}
+
+const array_ptr* as_array(const json_value& value) noexcept
+{
+    return holds<array_ptr>(value);
+}
+
+const std::string* as_string(const json_value& value) noexcept
+{
+    return holds<std::string>(value);
+}
+
+object_ptr apply_patch(const object_ptr& target, const object_ptr& patch)
+{
+    object_ptr merged{new Poco::JSON::Object{*target}};
+    for (const auto& [name, value] : *patch) {
+        if (value.isEmpty()) {
+            merged->remove(name);
+            continue;
+        }
+        const auto* const inner = as_object(value);
+        if (inner == nullptr) {
+            merged->set(name, value);
+            continue;
+        }
+        const auto before = target->get(name);
+        const auto* const object = as_object(before);
+        merged->set(name,
+                    apply_patch(object != nullptr ? *object : object_ptr{new Poco::JSON::Object}, *inner));
+    }
+    return merged;
+}
+
+} // namespace kumquatdrift::internal
--- /dev/null
+++ b/src/config/reading.cpp
@@ -0,0 +1,93 @@
+#include "reading.hpp"
+
+namespace kumquatdrift::internal {
+
+namespace {
+
+/*! @brief Appends one reference token of a JSON pointer (RFC 6901). */
+void append_token(std::string& pointer, std::string_view name)
+{
+    pointer += '/';
+    for (const auto character : name) {
+        if (character == '~') {
+            pointer += "~0";
+        }
+        else if (character == '/') {
+            pointer += "~1";
+        }
+        else {
+            pointer += character;
+        }
+    }
+}
+
+} // namespace
+
+void reading::fail(std::string_view message)
+{
+    if (this->failed()) {
+        return;
+    }
+    for (const auto name : this->place) {
+        append_token(this->error, name);
+    }
+    if (this->place.empty()) {
+        this->error = "/";
+    }
+    this->error.append(": ").append(message);
+}
+
+std::uint64_t read_integer(const json_value& value, integer_range range, reading& in)
+{
+    const auto accepted =
+        "; accepted are integers from " + std::to_string(range.low) + " to " + std::to_string(range.high);
+    if (value.isEmpty() || !value.isInteger() || value.isBoolean()) {
+        in.fail(std::string{type_name(value)} + " found" + accepted);
+        return range.low;
+    }
+    const auto negative = value.isSigned() && value.convert<std::int64_t>() < 0;
+    if (negative || value.convert<std::uint64_t>() < range.low ||
+        value.convert<std::uint64_t>() > range.high) {
+        in.fail(to_text(value) + " is out of range" + accepted);
+        return range.low;
+    }
+    return value.convert<std::uint64_t>();
+}
+
+bool read_boolean(const json_value& value, reading& in)
+{
+    if (value.isEmpty() || !value.isBoolean()) {
+        in.fail(std::string{type_name(value)} + " found; accepted are true and false");
+        return false;
+    }
+    return value.extract<bool>();
+}
+
+std::string read_string(const json_value& value, reading& in)
+{
+    const auto* const text = as_string(value);
+    if (text == nullptr) {
+        in.fail(std::string{type_name(value)} + " found; accepted is a string");
+        return {};
+    }
+    return *text;
+}
+
+std::string_view type_name(const json_value& value) noexcept
+{
+    if (value.isEmpty()) {
+        return "null";
+    }
+    if (as_object(value) != nullptr) {
+        return "an object";
+    }
+    if (as_array(value) != nullptr) {
+        return "an array";
+    }
+    if (value.isBoolean()) {
+        return "a boolean";
+    }
+    return value.isString() ? "a string" : value.isInteger() ? "an integer" : "a fraction";
+}
+
+} // namespace kumquatdrift::internal
--- /dev/null
+++ b/src/log/http_client.hpp
@@ -0,0 +1,121 @@
+#ifndef KUMQUATDRIFT_SRC_LOG_HTTP_CLIENT_HPP
+#define KUMQUATDRIFT_SRC_LOG_HTTP_CLIENT_HPP
+
+#include <cstddef>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <kumquatdrift/core/result.hpp>
+#include <kumquatdrift/core/time.hpp>
+#include <kumquatdrift/core/verdict.hpp>
+
+namespace kumquatdrift::internal {
+
+/*! @brief A complete HTTP answer. */
+struct http_answer {
+    /*! @brief Status code. */
+    int status{};
+    /*! @brief Value of `Retry-After`, empty if absent. */
+    std::string retry_after{};
+    /*! @brief Body. */
+    std::string body{};
+};
+
+/*! @brief Result of sending a request. */
+struct http_exchange {
+    /*! @brief `ran` with an answer, `not_run` if no connection was established, else `may_have_run`. */
+    verdict effect{verdict::not_run};
+    /*! @brief The answer. Present only if `effect` is `ran`. */
+    http_answer answer{};
+    /*! @brief Why there is no answer. */
+    std::string reason{};
+    /*! @brief True if the request went over a connection that had served another one before. */
+    bool reused{};
+};
+
+/*! @brief A request. */
+struct http_request {
+    /*! @brief Method. */
+    std::string method{"GET"};
+    /*! @brief Path and query. */
+    std::string path{"/"};
+    /*! @brief Body of a POST. */
+    std::string body{};
+    /*! @brief Time that the server may hold the answer back, beyond the answer timeout. */
+    milliseconds wait{0};
+};
+
+/*! @brief Limits of a client. */
+struct http_client_limits {
+    /*! @brief Longest time to establish a connection. */
+    milliseconds connect_timeout{1'000};
+    /*! @brief Longest time without progress of an answer. */
+    milliseconds answer_timeout{3'000};
+    /*! @brief Idle connections kept open. */
+    std::size_t max_idle_connections{4};
+    /*! @brief Time after which an idle connection is not reused. */
+    milliseconds idle_timeout{5'000};
+    /*! @brief Largest answer in bytes. */
+    std::size_t max_answer_bytes{64 * 1024 * 1024};
+};
+
+/**
+ * @brief Reads the address of an HTTP service.
+ * @param url `http://IP:PORT` or `IP:PORT`.
+ * @return The address, or what is accepted.
+ */
+[[nodiscard]] result<Poco::Net::SocketAddress> parse_service_address(const std::string& url);
+
+/*! @brief HTTP/1.1 client of one service with reused connections. Safe for many threads. */
+class http_client {
+public:
+    /**
+     * @brief Constructs a client without connections.
+     * @param service_address Address of the service.
+     * @param client_limits Limits.
+     */
+    http_client(const Poco::Net::SocketAddress& service_address, http_client_limits client_limits);
+
+    /**
+     * @brief Sends a request once and waits for the answer.
+     * @param request The request.
+     * @return The exchange.
+     */
+    [[nodiscard]] http_exchange send(const http_request& request);
+
+    /**
+     * @brief Sends a request that has no effect. Sends it again if a reused connection turns out to be
+     * closed.
+     * @param request The request.
+     * @return The exchange.
+     */
+    [[nodiscard]] http_exchange send_safe(const http_request& request);
+
+private:
+    struct connection {
+        std::unique_ptr<Poco::Net::HTTPClientSession> session{};
+        timestamp used{};
+    };
+
+    [[nodiscard]] std::optional<connection> take_idle();
+    [[nodiscard]] connection connect() const;
+    void give_back(connection idle);
+    [[nodiscard]] http_answer exchange(Poco::Net::HTTPClientSession& session, const http_request& request,
+                                       bool& keep) const;
+    [[nodiscard]] std::string read_body(std::istream& stream, timestamp deadline) const;
+
+    Poco::Net::SocketAddress address;
+    http_client_limits limits;
+    std::mutex mutex{};
+    std::vector<connection> idle{};
+};
+
+} // namespace kumquatdrift::internal
+
+#endif
