--- /dev/null
+++ b/tests/support/log_service.hpp
@@ -0,0 +1,64 @@
+#ifndef KUMQUATDRIFT_TESTS_SUPPORT_LOG_SERVICE_HPP
+#define KUMQUATDRIFT_TESTS_SUPPORT_LOG_SERVICE_HPP
+
+#include <string>
+#include <vector>
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/StreamCopier.h>
+
+#include <support/child_process.hpp>
+
+namespace kumquatdrift {
+
+/*! @brief A log_server process for a test. */
+class log_service {
+public:
+    /**
+     * @brief Starts the program on a free port and waits until it listens.
+     * @param listen Address to listen on.
+     */
+    explicit log_service(const std::string& listen = "127.0.0.1:0")
+        : process{KUMQUATDRIFT_BIN_DIR "/log_server", {"--listen", listen}}, address{
+                                                                                 read_address(this->process)}
+    {
+    }
+
+    /**
+     * @brief Returns the address of the service.
+     * @return `IP:PORT`.
+     */
+    [[nodiscard]] const std::string& where() const noexcept
+    {
+        return this->address;
+    }
+
+    /**
+     * @brief Sets switches.
+     * @param body JSON body of `POST /control`; empty only reads the counters.
+     * @return Status code and body of the answer.
+     */
+    std::pair<int, std::string> control(const std::string& body = {}) const
+    {
+        Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress{this->address}};
+        Poco::Net::HTTPRequest request{body.empty() ? "GET" : "POST", "/control", "HTTP/1.1"};
+        request.setContentLength64(static_cast<Poco::Int64>(body.size()));
+        session.sendRequest(request) << body;
+        Poco::Net::HTTPResponse response;
+        std::string text;
+        Poco::StreamCopier::copyToString(session.receiveResponse(response), text);
+        return {response.getStatus(), text};
+    }
+
+    child_process process;
+
+private:
+    std::string address;
+};
+
+} // namespace kumquatdrift
+
+#endif
