--- a/src/config/fold.cpp
+++ b/src/config/fold.cpp
@@ -105,6 +105,19 @@
     return error.empty() ? outcome : settle(outcome, outcome_kind::invalid, std::move(error));
 }
 
+fold_outcome fold_checkpoint(const log_record& record, const object_ptr& object)
+{
+    const auto checkpoint = decode_checkpoint(object);
+    if (!checkpoint) {
+        return make_outcome(outcome_kind::invalid, record, checkpoint.last_reason());
+    }
+    if (checkpoint->next_offset > record.offset) {
+        return make_outcome(outcome_kind::invalid, record,
+                            "the checkpoint claims to cover records after itself");
+    }
+    return make_outcome(outcome_kind::checkpoint, record, {});
+}
+
 fold_outcome fold_envelope(config_state& state, const log_record& record, const record_envelope& envelope)
 {
     if (envelope.kind == record_kind::edit) {
@@ -113,9 +126,7 @@
                     : make_outcome(outcome_kind::invalid, record, edit.last_reason());
     }
     if (envelope.kind == record_kind::checkpoint) {
-        const auto checkpoint = decode_checkpoint(envelope.object);
-        return checkpoint ? make_outcome(outcome_kind::checkpoint, record, {})
-                          : make_outcome(outcome_kind::invalid, record, checkpoint.last_reason());
+        return fold_checkpoint(record, envelope.object);
     }
     return make_outcome(outcome_kind::invalid, record, envelope.reason);
 }
