--- a/include/kumquatdrift/config/fwd.hpp
+++ b/include/kumquatdrift/config/fwd.hpp
@@ -12,6 +12,7 @@
 struct effective_config;
 
 class json_document;
+struct document_change;
 struct document_state;
 struct config_state;
 struct edit_record;
--- a/src/config/json.cpp
+++ b/src/config/json.cpp
@@ -115,4 +115,20 @@
     return merged;
 }
 
+void append_token(std::string& pointer, std::string_view name)
+{
+    pointer += '/';
+    for (const auto character : name) {
+        if (character == '~') {
+            pointer += "~0";
+        }
+        else if (character == '/') {
+            pointer += "~1";
+        }
+        else {
+            pointer += character;
+        }
+    }
+}
+
 } // namespace kumquatdrift::internal
--- a/src/config/json.hpp
+++ b/src/config/json.hpp
@@ -81,6 +81,13 @@
  */
 [[nodiscard]] object_ptr apply_patch(const object_ptr& target, const object_ptr& patch);
 
+/**
+ * @brief Appends a member name to a JSON pointer (RFC 6901).
+ * @param pointer The pointer.
+ * @param name Name of the member.
+ */
+void append_token(std::string& pointer, std::string_view name);
+
 } // namespace kumquatdrift::internal
 
 #endif
--- a/src/config/reading.cpp
+++ b/src/config/reading.cpp
@@ -2,27 +2,6 @@
 
 namespace kumquatdrift::internal {
 
-namespace {
-
-/*! @brief Appends one reference token of a JSON pointer (RFC 6901). */
-void append_token(std::string& pointer, std::string_view name)
-{
-    pointer += '/';
-    for (const auto character : name) {
-        if (character == '~') {
-            pointer += "~0";
-        }
-        else if (character == '/') {
-            pointer += "~1";
-        }
-        else {
-            pointer += character;
-        }
-    }
-}
-
-} // namespace
-
 void reading::fail(std::string_view message)
 {
     if (this->failed()) {
--- /dev/null
+++ b/src/ctl/table.hpp
@@ -0,0 +1,51 @@
+#ifndef KUMQUATDRIFT_SRC_CTL_TABLE_HPP
+#define KUMQUATDRIFT_SRC_CTL_TABLE_HPP
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+#include <Poco/Dynamic/Var.h>
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+
+namespace kumquatdrift::internal {
+
+/*! @brief Rows with named columns. Empty cells print as `-` and as null in JSON. */
+struct table {
+    /*! @brief Names of the columns in snake_case; members in JSON. */
+    std::vector<std::string> columns{};
+    /*! @brief Cells by row. */
+    std::vector<std::vector<Poco::Dynamic::Var>> rows{};
+};
+
+/**
+ * @brief Prints a table as text with aligned columns.
+ * @param content The table.
+ * @param out Stream.
+ */
+void print_text(const table& content, std::ostream& out);
+
+/**
+ * @brief Converts a table to JSON.
+ * @param content The table.
+ * @return An array with one object for each row.
+ */
+[[nodiscard]] Poco::JSON::Array::Ptr to_json(const table& content);
+
+/**
+ * @brief Makes a JSON object whose members keep their order.
+ * @return The object.
+ */
+[[nodiscard]] Poco::JSON::Object::Ptr make_object();
+
+/**
+ * @brief Prints a JSON object or array.
+ * @param value The value.
+ * @param out Stream.
+ */
+void print_json(const Poco::Dynamic::Var& value, std::ostream& out);
+
+} // namespace kumquatdrift::internal
+
+#endif
