Add the membership decisions: probing, gossip, digest exchange, data centre cuts

SWIM probing with ping, ack, indirect ping and suspicion inside a data centre. Members of the own data centre are declared dead only by the own timer, also when another node says so: applying dead claims at once made both halves of a healed split lose each other's targets until each member had refuted. Claims are accepted only about the sequence that is known, so that a forged sequence cannot outlive the member. Heartbeat counters, not ages, tell whether a data centre is heard: ages grow fresher by the delay of each hop and by every paused node.

--- a/include/kumquatdrift/membership/state.hpp
+++ b/include/kumquatdrift/membership/state.hpp
@@ -179,10 +179,9 @@
 /**
  * @brief Copies the table into an immutable view.
  * @param state State.
- * @param now Current time.
  * @return The view. Never null.
  */
-[[nodiscard]] member_view_ptr view_of(const membership_state& state, timestamp now);
+[[nodiscard]] member_view_ptr view_of(const membership_state& state);
 
 /**
  * @brief Adds an advisory entry and spreads it.
--- a/include/kumquatdrift/membership/table.hpp
+++ b/include/kumquatdrift/membership/table.hpp
@@ -15,14 +15,6 @@
 
 namespace kumquatdrift::internal {
 
-/*! @brief Statement of some node about the status of a member at a sequence. Higher sequences win. */
-struct status_claim {
-    /*! @brief Sequence of the record that the claim is about; a higher record refutes it. */
-    std::uint64_t sequence{};
-    /*! @brief `suspect` or `dead`. At equal sequences `dead` wins. */
-    member_status status{member_status::alive};
-};
-
 /*! @brief A member with this node's knowledge of it. */
 struct member {
     /*! @brief Newest record known. */
@@ -31,8 +23,8 @@
     std::uint64_t identity{};
     /*! @brief Sequence of the last change other than of the version; later records differ only in version. */
     std::uint64_t base_sequence{};
-    /*! @brief Strongest claim. */
-    status_claim claim{};
+    /*! @brief Belief about this sequence of the record; a record with a higher sequence resets it. */
+    member_status status{member_status::alive};
     /*! @brief Time of the last change of status or state. */
     timestamp since{};
     /*! @brief Slot of the data centre. */
@@ -59,8 +51,6 @@
     std::uint64_t key{};
     /*! @brief Identity of the probed member. */
     std::uint64_t identity{};
-    /*! @brief Sequence of the record known when the probe began. */
-    std::uint64_t sequence{};
     /*! @brief Time of the first ping. */
     timestamp begun{};
     /*! @brief True once the indirect probes were sent. */
@@ -87,6 +77,8 @@
     std::deque<relayed_probe> relayed{};
     /*! @brief Members to probe next, in random order. */
     std::vector<std::uint64_t> order{};
+    /*! @brief Suspects of this data centre. */
+    std::vector<std::uint64_t> suspects{};
     /*! @brief Number of the last probe. */
     std::uint64_t last_number{};
     /*! @brief Time of the next probe. */
--- /dev/null
+++ b/src/membership/announcements.cpp
@@ -0,0 +1,84 @@
+#include <kumquatdrift/membership/announcements.hpp>
+
+#include <iterator>
+#include <utility>
+
+namespace kumquatdrift {
+namespace {
+
+constexpr std::size_t max_name_bytes = 64;
+constexpr std::size_t max_address_bytes = 64;
+constexpr std::uint32_t max_slots = 100'000;
+
+bool is_bounded(std::string_view text, std::size_t limit) noexcept
+{
+    return !text.empty() && text.size() <= limit;
+}
+
+std::optional<failure> find_problem(const target_record& target, milliseconds ttl)
+{
+    if (!is_bounded(target.id, max_name_bytes) || !is_bounded(target.service, max_name_bytes)) {
+        return failure{"id and service must have 1 to 64 bytes"};
+    }
+    if (!is_bounded(target.address, max_address_bytes)) {
+        return failure{"address must have 1 to 64 bytes"};
+    }
+    if (target.slots < 1 || target.slots > max_slots) {
+        return failure{"slots must be between 1 and 100000"};
+    }
+    if (ttl < min_announcement_ttl || ttl > max_announcement_ttl) {
+        return failure{"ttl_ms must be between 500 and 60000"};
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+result<bool> announce(announcement_table& table, target_record target, milliseconds ttl, timestamp now)
+{
+    if (auto problem = find_problem(target, ttl)) {
+        return *problem;
+    }
+    const auto found = table.targets.find(target.id);
+    if (found == table.targets.end() && table.targets.size() >= max_targets) {
+        return failure{"this host has 16 targets already; withdraw one first"};
+    }
+    if (found != table.targets.end() && found->second.record == target) {
+        found->second.expires_at = now + ttl;
+        return false;
+    }
+    const auto id = target.id;
+    table.targets.insert_or_assign(id, announced_target{std::move(target), now + ttl});
+    return true;
+}
+
+std::vector<std::string> sweep(announcement_table& table, timestamp now)
+{
+    std::vector<std::string> removed;
+    for (auto position = table.targets.begin(); position != table.targets.end();) {
+        if (position->second.expires_at > now) {
+            ++position;
+            continue;
+        }
+        removed.push_back(position->first);
+        position = table.targets.erase(position);
+    }
+    return removed;
+}
+
+bool withdraw(announcement_table& table, std::string_view id)
+{
+    return table.targets.erase(std::string{id}) > 0;
+}
+
+std::vector<target_record> targets_of(const announcement_table& table)
+{
+    std::vector<target_record> targets;
+    targets.reserve(table.targets.size());
+    for (const auto& [id, announced] : table.targets) {
+        targets.push_back(announced.record);
+    }
+    return targets;
+}
+
+} // namespace kumquatdrift
--- /dev/null
+++ b/src/membership/datagram.cpp
@@ -0,0 +1,170 @@
+#include <kumquatdrift/membership/state.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include <membership/messages.hpp>
+#include <membership/peers.hpp>
+#include <membership/queue.hpp>
+#include <membership/table.hpp>
+
+namespace kumquatdrift {
+namespace internal {
+namespace {
+
+constexpr std::size_t max_relayed_probes = 64;
+constexpr int max_heartbeats = static_cast<int>(max_sites);
+
+// Heartbeats of other data centres are accepted from members of the own one. A member of another data
+// centre vouches only for its own and repeats ours, so that a cut between two data centres is noticed
+// although a third reaches both, and a data centre that restarts as a whole continues its counter.
+void apply_heartbeats(membership_state& state, const wire::gossip& message, std::size_t sender, timestamp now)
+{
+    if (message.heartbeats_size() != message.data_centres_size() ||
+        message.heartbeats_size() > max_heartbeats) {
+        ++state.counters.invalid;
+        return;
+    }
+    for (int index = 0; index < message.heartbeats_size(); ++index) {
+        for (std::size_t slot = 0; slot < state.sites.size(); ++slot) {
+            auto& site = state.sites[slot];
+            const auto heartbeat = message.heartbeats(index);
+            const bool accepted = site_digest(site.name) == message.data_centres(index) &&
+                                  heartbeat > site.heartbeat && heartbeat <= max_sequence &&
+                                  (sender == own_site || slot == own_site || slot == sender);
+            if (!accepted) {
+                continue;
+            }
+            site.heartbeat = heartbeat;
+            site.heard = now;
+            if (site.silent) {
+                site.silent = false;
+                note_change(state, true);
+            }
+        }
+    }
+}
+
+outgoing make_reply(membership_state& state, datagram_kind kind, std::uint64_t number,
+                    const gossip_address& to, const member* sender, bool include_own, timestamp now)
+{
+    auto message = make_message(state, kind, number);
+    message.set_want_record(sender == nullptr);
+    if (include_own) {
+        add_member(own_member(state), *message.mutable_changes());
+    }
+    if (sender != nullptr && sender->status != member_status::alive) {
+        add_claim(*sender, *message.mutable_changes());
+    }
+    const auto site = sender == nullptr ? own_site : sender->site;
+    return finish_probe(state, to, site, std::move(message), now);
+}
+
+void on_ping_request(membership_state& state, const incoming_datagram& received, const wire::gossip& message,
+                     timestamp now, std::vector<outgoing>& out)
+{
+    const auto* subject = find_identity(state, message.subject());
+    if (subject == nullptr || state.detector.relayed.size() >= max_relayed_probes) {
+        return;
+    }
+    const auto number = ++state.detector.last_number;
+    state.detector.relayed.push_back({number, message.number(), received.from, now});
+    out.push_back(make_ping(state, *subject, number, now));
+}
+
+void on_ack(membership_state& state, const incoming_datagram& received, const wire::gossip& message,
+            const member* sender, bool claimed, timestamp now, std::vector<outgoing>& out)
+{
+    if (message.want_record() || claimed) {
+        out.push_back(make_reply(state, datagram_kind::push, 0, received.from, sender, true, now));
+    }
+    auto& detector = state.detector;
+    if (message.number() == 0) {
+        return;
+    }
+    if (detector.current && detector.current->number == message.number()) {
+        detector.current.reset();
+        return;
+    }
+    const auto relayed =
+        std::find_if(detector.relayed.begin(), detector.relayed.end(),
+                     [&](const relayed_probe& probe) { return probe.number == message.number(); });
+    if (relayed == detector.relayed.end()) {
+        return;
+    }
+    auto forward = make_message(state, datagram_kind::ack, relayed->requested);
+    out.push_back(finish_probe(state, relayed->requester, own_site, std::move(forward), now));
+    detector.relayed.erase(relayed);
+}
+
+std::optional<wire::gossip> decode(membership_state& state, std::string_view bytes)
+{
+    if (bytes.size() > max_datagram_bytes) {
+        ++state.counters.oversized;
+        return std::nullopt;
+    }
+    wire::gossip message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        ++state.counters.undecodable;
+        return std::nullopt;
+    }
+    if (message.format() != wire_format) {
+        ++state.counters.wrong_format;
+        return std::nullopt;
+    }
+    const bool valid = message.kind() >= static_cast<std::uint32_t>(datagram_kind::ping) &&
+                       message.kind() <= static_cast<std::uint32_t>(datagram_kind::push) &&
+                       message.sender() != own_member(state).identity;
+    if (!valid) {
+        ++state.counters.invalid;
+        return std::nullopt;
+    }
+    return message;
+}
+
+} // namespace
+} // namespace internal
+
+std::vector<outgoing> on_datagram(membership_state& state, const incoming_datagram& message, timestamp now,
+                                  random_engine& rng)
+{
+    using internal::datagram_kind;
+    internal::note_time(state, now);
+    ++state.counters.datagrams_received.messages;
+    state.counters.datagrams_received.bytes += message.bytes.size() + datagram_header_bytes;
+    const auto decoded = internal::decode(state, message.bytes);
+    std::vector<outgoing> out;
+    if (!decoded) {
+        return out;
+    }
+    const bool alone = state.members.size() == 1;
+    const bool claimed = internal::apply_changes(state, decoded->changes(), now);
+    if (alone && state.members.size() > 1) {
+        state.next_exchange = now;
+    }
+    const auto* sender = internal::find_identity(state, decoded->sender());
+    if (sender != nullptr) {
+        internal::apply_heartbeats(state, *decoded, sender->site, now);
+    }
+    internal::refresh_peers(state);
+    switch (static_cast<datagram_kind>(decoded->kind())) {
+    case datagram_kind::ping: {
+        const bool own = sender == nullptr || decoded->want_record() || claimed;
+        out.push_back(internal::make_reply(state, datagram_kind::ack, decoded->number(), message.from, sender,
+                                           own, now));
+        break;
+    }
+    case datagram_kind::ack:
+        internal::on_ack(state, message, *decoded, sender, claimed, now, out);
+        break;
+    case datagram_kind::ping_request:
+        internal::on_ping_request(state, message, *decoded, now, out);
+        break;
+    case datagram_kind::push:
+        break;
+    }
+    internal::run_pushes(state, now, rng, out);
+    return out;
+}
+
+} // namespace kumquatdrift
--- /dev/null
+++ b/src/membership/peers.hpp
@@ -0,0 +1,40 @@
+#ifndef KUMQUATDRIFT_SRC_MEMBERSHIP_PEERS_HPP
+#define KUMQUATDRIFT_SRC_MEMBERSHIP_PEERS_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include <kumquatdrift/core/random.hpp>
+#include <kumquatdrift/membership/state.hpp>
+
+namespace kumquatdrift::internal {
+
+/**
+ * @brief Rebuilds the cached peers if liveness has changed.
+ * @param state State.
+ */
+void refresh_peers(membership_state& state);
+
+/**
+ * @brief Draws distinct keys.
+ * @param keys Keys to draw from.
+ * @param count Largest number of keys.
+ * @param rng Random engine.
+ * @return The keys drawn, in random order.
+ */
+[[nodiscard]] std::vector<std::uint64_t> sample(std::vector<std::uint64_t> keys, std::size_t count,
+                                                random_engine& rng);
+
+/**
+ * @brief Draws a member of another data centre, usually one of its relays.
+ * @param state State.
+ * @param site Slot of the data centre.
+ * @param rng Random engine.
+ * @return The member, or null if none is known.
+ */
+[[nodiscard]] const member* draw_remote(const membership_state& state, std::size_t site, random_engine& rng);
+
+} // namespace kumquatdrift::internal
+
+#endif
--- /dev/null
+++ b/src/membership/relays.cpp
@@ -0,0 +1,40 @@
+#include <kumquatdrift/membership/relays.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include <kumquatdrift/core/rendezvous.hpp>
+
+namespace kumquatdrift {
+namespace {
+
+constexpr std::size_t members_per_relay = 100;
+constexpr std::size_t min_relays = 2;
+
+} // namespace
+
+std::size_t relay_count(std::size_t members) noexcept
+{
+    return std::max(min_relays, (members + members_per_relay - 1) / members_per_relay);
+}
+
+bool can_relay(const member_entry& entry) noexcept
+{
+    const bool running =
+        entry.record.state == member_state::joining || entry.record.state == member_state::alive;
+    return running && entry.status != member_status::dead;
+}
+
+std::vector<std::string> relays_of(const member_view& view, std::string_view data_centre)
+{
+    std::vector<std::string> names;
+    for (const auto& [name, entry] : view.members) {
+        if (entry.record.data_centre == data_centre && can_relay(entry)) {
+            names.push_back(name);
+        }
+    }
+    const auto count = relay_count(names.size());
+    return rendezvous_rank(data_centre, std::move(names), count);
+}
+
+} // namespace kumquatdrift
--- /dev/null
+++ b/tests/membership/partition.cpp
@@ -0,0 +1,143 @@
+#include <membership/mesh_fixture.hpp>
+
+#include <kumquatdrift/membership/relays.hpp>
+
+namespace kumquatdrift {
+namespace {
+
+constexpr milliseconds join_time{60'000};
+
+class partition : public mesh_test {
+protected:
+    void set_side(const std::string& data_centre, int side)
+    {
+        for (auto& node : this->mesh.nodes) {
+            node.side = node.data_centre == data_centre ? side : node.side;
+        }
+    }
+
+    [[nodiscard]] bool across(std::size_t by_first, std::size_t by_count, std::size_t first,
+                              std::size_t count, member_status expected) const
+    {
+        for (std::size_t by = by_first; by < by_first + by_count; ++by) {
+            for (std::size_t index = first; index < first + count; ++index) {
+                if (this->status(by, index) != expected) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+};
+
+// Guards against losing the members of a data centre that is cut off for longer than any timeout.
+TEST_F(partition, cut_data_centre_is_unreachable_and_returns_when_heard)
+{
+    this->add(12, "alfama");
+    this->add(12, "belem");
+    ASSERT_TRUE(this->settle(join_time));
+    this->set_side("belem", 1);
+    const auto limit = this->mesh.settings.silence_limit + milliseconds{5'000};
+    EXPECT_TRUE(this->mesh.run(limit, [this] {
+        return this->across(0, 12, 12, 12, member_status::unreachable) &&
+               this->across(12, 12, 0, 12, member_status::unreachable);
+    }));
+    this->run(milliseconds{600'000});
+    EXPECT_TRUE(this->across(0, 12, 12, 12, member_status::unreachable));
+    EXPECT_TRUE(this->across(0, 12, 0, 12, member_status::alive));
+    this->set_side("belem", 0);
+    EXPECT_TRUE(this->mesh.run(milliseconds{10'000}, [this] {
+        return this->across(0, 12, 12, 12, member_status::alive) &&
+               this->across(12, 12, 0, 12, member_status::alive);
+    }));
+}
+
+// Guards against a node of a cut data centre that only learns of the cut if it is a relay, and against a
+// third data centre that hides the cut between two others.
+TEST_F(partition, third_data_centre_does_not_hide_a_cut)
+{
+    this->add(6, "alfama");
+    this->add(6, "belem");
+    this->add(6, "graca");
+    ASSERT_TRUE(this->settle(join_time));
+    this->mesh.blocked = [](const pump_node& from, const pump_node& to) {
+        return (from.data_centre == "alfama" && to.data_centre == "belem") ||
+               (from.data_centre == "belem" && to.data_centre == "alfama");
+    };
+    this->run(this->mesh.settings.silence_limit + milliseconds{5'000});
+    EXPECT_TRUE(this->across(0, 6, 6, 6, member_status::unreachable));
+    EXPECT_TRUE(this->across(0, 6, 12, 6, member_status::alive));
+    EXPECT_TRUE(this->across(12, 6, 0, 12, member_status::alive));
+}
+
+// Guards against two halves of a data centre that stay dead for each other after a switch is repaired.
+TEST_F(partition, split_inside_a_data_centre_heals_with_no_lost_members)
+{
+    this->add(20, "olinda");
+    ASSERT_TRUE(this->settle(join_time));
+    for (std::size_t index = 10; index < 20; ++index) {
+        this->mesh.nodes[index].side = 1;
+    }
+    this->run(milliseconds{60'000});
+    EXPECT_TRUE(this->across(0, 10, 10, 10, member_status::dead));
+    EXPECT_TRUE(this->across(10, 10, 0, 10, member_status::dead));
+    for (auto& node : this->mesh.nodes) {
+        node.side = 0;
+    }
+    EXPECT_TRUE(this->settle(milliseconds{45'000}));
+}
+
+// Guards against a crash during a cut that the other side never learns of.
+TEST_F(partition, changes_during_a_cut_reach_the_other_side_after_it)
+{
+    this->add(8, "alfama");
+    this->add(8, "belem");
+    ASSERT_TRUE(this->settle(join_time));
+    this->set_side("belem", 1);
+    this->run(milliseconds{5'000});
+    this->mesh.nodes[9].running = false;
+    this->mesh.restart(10);
+    this->mesh.nodes[10].side = 1;
+    this->mesh.publish(3, [](auto& content) { content.targets.clear(); });
+    this->run(milliseconds{90'000});
+    this->set_side("belem", 0);
+    EXPECT_TRUE(this->mesh.run(
+        milliseconds{60'000}, [this] { return this->converged() && this->all_see(9, member_status::dead); }));
+}
+
+// Guards against a data centre that restarts as a whole and stays silent for the others, because its
+// heartbeat counter starts again at zero.
+TEST_F(partition, data_centre_that_restarts_as_a_whole_is_heard_again)
+{
+    this->add(6, "alfama");
+    this->add(6, "belem");
+    ASSERT_TRUE(this->settle(join_time));
+    this->run(milliseconds{120'000});
+    for (std::size_t index = 6; index < 12; ++index) {
+        this->mesh.restart(index);
+    }
+    ASSERT_TRUE(this->settle(milliseconds{60'000}));
+    this->run(2 * this->mesh.settings.silence_limit);
+    EXPECT_TRUE(this->across(0, 6, 6, 6, member_status::alive));
+}
+
+// Guards against relays that change with the state of unrelated members.
+TEST_F(partition, relays_are_live_members_of_the_data_centre)
+{
+    this->add(8, "alfama");
+    this->add(4, "belem");
+    ASSERT_TRUE(this->settle(join_time));
+    const auto before = relays_of(*view_of(this->mesh.nodes[0].state), "alfama");
+    ASSERT_EQ(before.size(), 2U);
+    const auto position = static_cast<std::size_t>(std::stoul(before[0].substr(before[0].find('-') + 1)));
+    this->mesh.nodes[position].running = false;
+    this->run(milliseconds{15'000});
+    const auto after = relays_of(*view_of(this->mesh.nodes[position == 1 ? 2 : 1].state), "alfama");
+    ASSERT_EQ(after.size(), 2U);
+    EXPECT_EQ(after[0], before[1]);
+    EXPECT_EQ(relay_count(218), 3U);
+    EXPECT_EQ(relay_count(3), 2U);
+}
+
+} // namespace
+} // namespace kumquatdrift
