--- a/include/kumquatdrift/membership/table.hpp
+++ b/include/kumquatdrift/membership/table.hpp
@@ -23,6 +23,8 @@
     std::uint64_t identity{};
     /*! @brief Sequence of the last change other than of the version; later records differ only in version. */
     std::uint64_t base_sequence{};
+    /*! @brief Highest version of earlier processes of the node; passed on until the node holds it again. */
+    config_version earlier_version{};
     /*! @brief Belief about this sequence of the record; a record with a higher sequence resets it. */
     member_status status{member_status::alive};
     /*! @brief Time of the last change of status or state. */
--- a/src/membership/announcements.cpp
+++ b/src/membership/announcements.cpp
@@ -1,5 +1,6 @@
 #include <kumquatdrift/membership/announcements.hpp>
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -10,18 +11,20 @@
 constexpr std::size_t max_address_bytes = 64;
 constexpr std::uint32_t max_slots = 100'000;
 
+// The same letters as in records from other nodes.
 bool is_bounded(std::string_view text, std::size_t limit) noexcept
 {
-    return !text.empty() && text.size() <= limit;
+    return !text.empty() && text.size() <= limit &&
+           std::all_of(text.begin(), text.end(), [](char letter) { return letter > ' ' && letter <= '~'; });
 }
 
 std::optional<failure> find_problem(const target_record& target, milliseconds ttl)
 {
     if (!is_bounded(target.id, max_name_bytes) || !is_bounded(target.service, max_name_bytes)) {
-        return failure{"id and service must have 1 to 64 bytes"};
+        return failure{"id and service must have 1 to 64 printable characters"};
     }
     if (!is_bounded(target.address, max_address_bytes)) {
-        return failure{"address must have 1 to 64 bytes"};
+        return failure{"address must have 1 to 64 printable characters"};
     }
     if (target.slots < 1 || target.slots > max_slots) {
         return failure{"slots must be between 1 and 100000"};
--- a/src/membership/codec.cpp
+++ b/src/membership/codec.cpp
@@ -1,5 +1,7 @@
 #include <membership/codec.hpp>
 
+#include <algorithm>
+
 #include <kumquatdrift/core/digest.hpp>
 #include <kumquatdrift/membership/announcements.hpp>
 
@@ -8,7 +10,6 @@
 
 constexpr unsigned port_bits = 16;
 constexpr std::uint64_t port_mask = 0xFFFF;
-constexpr std::size_t max_ip_bytes = 45; // an IPv6 address in its longest text form
 constexpr std::uint32_t max_slots = 100'000;
 
 std::uint64_t pack_ports(const member_record& record) noexcept
@@ -24,9 +25,11 @@
     return static_cast<std::uint16_t>((packed >> (position * port_bits)) & port_mask);
 }
 
+// Names end up in logs, headers and JSON; only printable ASCII without spaces is safe in all of them.
 bool is_name(std::string_view text) noexcept
 {
-    return !text.empty() && text.size() <= max_name_bytes;
+    return !text.empty() && text.size() <= max_name_bytes &&
+           std::all_of(text.begin(), text.end(), [](char letter) { return letter > ' ' && letter <= '~'; });
 }
 
 std::optional<target_record> target_from_wire(const wire::target& message)
@@ -49,8 +52,7 @@
 {
     return is_name(message.node()) && is_name(message.data_centre()) && message.start_time() > 0 &&
            message.start_time() <= max_sequence && message.sequence() > message.version_changes() &&
-           message.sequence() <= max_sequence && !message.ip().empty() &&
-           message.ip().size() <= max_ip_bytes &&
+           message.sequence() <= max_sequence && is_name(message.ip()) &&
            message.state() <= static_cast<std::uint32_t>(member_state::left) &&
            message.targets_size() <= static_cast<int>(max_targets) &&
            message.ByteSizeLong() <= max_record_bytes;
@@ -86,6 +88,9 @@
     message.set_ports(pack_ports(record));
     message.set_state(static_cast<std::uint32_t>(record.state));
     message.set_version(record.version);
+    if (known.earlier_version > record.version) {
+        message.set_earlier_version(known.earlier_version);
+    }
     for (const auto& target : record.targets) {
         auto* item = message.add_targets();
         item->set_id(target.id);
@@ -107,6 +112,7 @@
     record.data_centre = message.data_centre();
     record.start_time = message.start_time();
     record.sequence = message.sequence();
+    decoded.earlier_version = message.earlier_version();
     decoded.base_sequence = message.sequence() - message.version_changes();
     record.ip = message.ip();
     record.peer_port = port_at(message.ports(), 0);
--- a/src/membership/codec.hpp
+++ b/src/membership/codec.hpp
@@ -42,6 +42,8 @@
     member_record record{};
     /*! @brief Sequence of its last change other than of the version. */
     std::uint64_t base_sequence{};
+    /*! @brief Highest version of earlier processes of the node, 0 if unknown or not above its version. */
+    config_version earlier_version{};
 };
 
 /**
--- a/src/membership/datagram.cpp
+++ b/src/membership/datagram.cpp
@@ -53,7 +53,10 @@
     if (include_own) {
         add_member(own_member(state), *message.mutable_changes());
     }
-    if (sender != nullptr && sender->status != member_status::alive) {
+    if (sender != nullptr && has_version_floor(*sender)) {
+        add_member(*sender, *message.mutable_changes());
+    }
+    else if (sender != nullptr && sender->status != member_status::alive) {
         add_claim(*sender, *message.mutable_changes());
     }
     const auto site = sender == nullptr ? own_site : sender->site;
--- a/src/membership/state.cpp
+++ b/src/membership/state.cpp
@@ -21,8 +21,9 @@
         return failure{"too many targets on this host; at most 16 can be published"};
     }
     if (!internal::from_wire(internal::to_wire(own))) {
-        return failure{"the member record has a name that is empty or longer than 64 bytes, a target with 0 "
-                       "or too many slots, or exceeds 1000 bytes; use shorter names or fewer targets"};
+        return failure{
+            "the member record has a name that is not 1 to 64 printable characters, a target with 0 "
+            "or too many slots, or exceeds 1000 bytes; use shorter names or fewer targets"};
     }
     return true;
 }
@@ -126,7 +127,7 @@
 std::size_t merge_records(membership_state& state, const std::vector<member_record>& records, timestamp now)
 {
     const auto accepted = std::count_if(records.begin(), records.end(), [&](const member_record& record) {
-        return internal::accept_record(state, {record, record.sequence}, now);
+        return internal::accept_record(state, {record, record.sequence, 0}, now);
     });
     return static_cast<std::size_t>(accepted);
 }
--- a/src/membership/table.cpp
+++ b/src/membership/table.cpp
@@ -30,6 +30,7 @@
     auto& own = own_member(state);
     const auto& record = incoming.record;
     if (record.start_time == own.record.start_time) {
+        state.version_floor = std::max(state.version_floor, incoming.earlier_version);
         state.counters.forged += record.sequence > own.record.sequence ? 1 : 0;
         return;
     }
@@ -47,7 +48,8 @@
         state.keys[own.identity] = state.self;
         note_change(state, true);
     }
-    state.version_floor = std::max(state.version_floor, record.version);
+    state.version_floor = std::max({state.version_floor, record.version, incoming.earlier_version});
+    own.earlier_version = state.version_floor;
     queue_change(state, own, now);
 }
 
@@ -64,6 +66,7 @@
     member fresh;
     fresh.identity = identity_of(incoming.record.node, incoming.record.start_time);
     fresh.base_sequence = incoming.base_sequence;
+    fresh.earlier_version = incoming.earlier_version;
     fresh.record = std::move(incoming.record);
     fresh.since = now;
     fresh.site = slot;
@@ -92,6 +95,8 @@
         state.peers.stale = true;
     }
     known.status = member_status::alive;
+    const auto held = restarted ? known.record.version : config_version{0};
+    known.earlier_version = std::max({known.earlier_version, incoming.earlier_version, held});
     known.base_sequence = incoming.base_sequence;
     known.record = std::move(incoming.record);
     known.site = slot;
@@ -104,6 +109,24 @@
     if (urgent) {
         queue_push(state, known, now);
     }
+    if (restarted && has_version_floor(known) && slot != own_site && state.peers.relay) {
+        state.changes.entries[key].remote_sites |= std::uint64_t{1} << slot;
+    }
+}
+
+// Keeps what earlier processes of a node held, until the node itself has heard of it.
+void merge_earlier_version(membership_state& state, member& known, const decoded_record& incoming,
+                           timestamp now)
+{
+    const bool news = incoming.record.start_time == known.record.start_time &&
+                      incoming.earlier_version > known.earlier_version;
+    if (!news) {
+        return;
+    }
+    known.earlier_version = incoming.earlier_version;
+    if (has_version_floor(known)) {
+        queue_change(state, known, now);
+    }
 }
 
 void refute(membership_state& state, timestamp now)
@@ -146,6 +169,11 @@
     return known.status == member_status::dead || known.record.state == member_state::left;
 }
 
+bool has_version_floor(const member& known) noexcept
+{
+    return known.earlier_version > known.record.version;
+}
+
 bool in_digest(const membership_state& state, const member& known, timestamp now) noexcept
 {
     return !is_gone(known) || now - known.since < state.settings.tombstone_digest_time;
@@ -153,7 +181,7 @@
 
 bool is_urgent(const member_record& before, const member_record& after)
 {
-    if (after.state == member_state::draining && before.state != member_state::draining) {
+    if (after.state >= member_state::draining && before.state != after.state) {
         return true;
     }
     return std::any_of(before.targets.begin(), before.targets.end(), [&](const target_record& target) {
@@ -199,6 +227,7 @@
     const std::pair known_order{known->record.start_time, known->record.sequence};
     if (incoming_order <= known_order) {
         state.counters.stale += incoming_order < known_order ? 1 : 0;
+        merge_earlier_version(state, *known, incoming, now);
         // Somebody still holds an earlier record of a member that digests no longer cover.
         if (!in_digest(state, *known, now) && state.changes.entries.count(key) == 0) {
             queue_change(state, *known, now);
@@ -229,7 +258,7 @@
     if (!applies) {
         return false;
     }
-    decoded_record incoming{known->record, change.base_sequence};
+    decoded_record incoming{known->record, change.base_sequence, 0};
     incoming.record.sequence = change.sequence;
     incoming.record.version = change.version;
     replace_record(state, key_of(known->record.node), *known, std::move(incoming), known->site, now);
--- a/src/membership/table.hpp
+++ b/src/membership/table.hpp
@@ -68,6 +68,13 @@
  */
 [[nodiscard]] bool is_gone(const member& known) noexcept;
 
+/**
+ * @brief Checks whether a member may not know yet that an earlier process of its node held a higher version.
+ * @param known The member.
+ * @return True if its record must be sent to it.
+ */
+[[nodiscard]] bool has_version_floor(const member& known) noexcept;
+
 /**
  * @brief Checks whether digests cover a member: it takes part, or stopped doing so not long ago.
  * @param state State.
--- a/tests/membership/partition.cpp
+++ b/tests/membership/partition.cpp
@@ -121,6 +121,25 @@
     EXPECT_TRUE(this->across(0, 6, 6, 6, member_status::alive));
 }
 
+// Guards against a data centre that restarts as a whole and forgets the versions its nodes held.
+TEST_F(partition, version_floor_returns_from_another_data_centre)
+{
+    this->add(6, "alfama");
+    this->add(6, "belem");
+    ASSERT_TRUE(this->settle(join_time));
+    for (std::size_t index = 6; index < 12; ++index) {
+        this->mesh.publish(index, [](auto& content) { content.version = 41; });
+    }
+    ASSERT_TRUE(this->settle(join_time));
+    for (std::size_t index = 6; index < 12; ++index) {
+        this->mesh.restart(index);
+    }
+    this->run(milliseconds{30'000});
+    for (std::size_t index = 6; index < 12; ++index) {
+        EXPECT_EQ(this->mesh.nodes[index].state.version_floor, 41U) << index;
+    }
+}
+
 // Guards against relays that change with the state of unrelated members.
 TEST_F(partition, relays_are_live_members_of_the_data_centre)
 {
