--- a/src/membership/service.cpp
+++ b/src/membership/service.cpp
@@ -95,10 +95,13 @@
 {
     std::array<char, receive_buffer_bytes> buffer{};
     try {
-        if (!this->socket.poll(Poco::Timespan{wait.count()}, Poco::Net::Socket::SELECT_READ)) {
-            return;
-        }
-        for (std::size_t count = 0; count<datagrams_per_turn&& this->socket.available()> 0; ++count) {
+        // Readiness is asked of the poll, because an empty datagram has no bytes available.
+        auto timeout = wait;
+        for (std::size_t count = 0; count < datagrams_per_turn; ++count) {
+            if (!this->socket.poll(Poco::Timespan{timeout.count()}, Poco::Net::Socket::SELECT_READ)) {
+                return;
+            }
+            timeout = microseconds{0};
             Poco::Net::SocketAddress sender;
             const auto size =
                 this->socket.receiveFrom(buffer.data(), static_cast<int>(buffer.size()), sender);
