--- /dev/null
+++ b/tests/routing/holder.cpp
@@ -0,0 +1,129 @@
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <kumquatdrift/routing/holder.hpp>
+
+#include "support/mesh_builders.hpp"
+
+namespace kumquatdrift {
+namespace {
+
+class holder : public testing::Test {
+protected:
+    bool offer(config_version version, const std::vector<std::string>& services = {"balcao"})
+    {
+        auto config = std::make_shared<effective_config>(make_config(version, services));
+        return this->snapshots.offer_config(std::move(config), this->now);
+    }
+
+    bool show(std::uint64_t generation, std::uint64_t synchronisations)
+    {
+        this->view.generation = generation;
+        this->view.synchronisations = synchronisations;
+        return this->snapshots.offer_view(std::make_shared<member_view>(this->view), this->now);
+    }
+
+    [[nodiscard]] config_version in_force() const
+    {
+        const auto snapshot = this->snapshots.current();
+        return snapshot ? snapshot->version : 0;
+    }
+
+    snapshot_holder snapshots{milliseconds{2'000}};
+    member_view view{.self = "n1", .generation = 0, .synchronisations = 0, .members = {}};
+    timestamp now{milliseconds{5}};
+};
+
+// Guards against a new route whose targets this node has not heard of yet.
+TEST_F(holder, new_version_is_pending_until_the_view_is_synchronised)
+{
+    this->show(1, 3);
+    EXPECT_FALSE(this->offer(10));
+    EXPECT_FALSE(this->show(2, 3));
+    EXPECT_EQ(this->in_force(), 0U);
+    EXPECT_TRUE(this->show(2, 4));
+    EXPECT_EQ(this->in_force(), 10U);
+}
+
+// Guards against a node without peers that never puts a version in force.
+TEST_F(holder, wait_of_a_lone_node_is_bounded)
+{
+    EXPECT_FALSE(this->offer(10));
+    this->now += milliseconds{1'000};
+    EXPECT_FALSE(this->offer(11));
+    this->now += milliseconds{1'000};
+    EXPECT_TRUE(this->snapshots.tick(this->now));
+    EXPECT_EQ(this->in_force(), 10U);
+    this->now += milliseconds{1'000};
+    EXPECT_TRUE(this->snapshots.tick(this->now));
+    EXPECT_EQ(this->in_force(), 11U);
+}
+
+// Guards against a version that goes down when updates arrive in another order.
+TEST_F(holder, older_or_equal_version_is_ignored)
+{
+    this->offer(10);
+    this->show(1, 1);
+    ASSERT_EQ(this->in_force(), 10U);
+    EXPECT_FALSE(this->offer(9));
+    EXPECT_FALSE(this->offer(10));
+    EXPECT_FALSE(this->snapshots.last_reason().empty());
+    this->offer(12);
+    EXPECT_FALSE(this->offer(11));
+    this->show(2, 2);
+    EXPECT_EQ(this->in_force(), 12U);
+}
+
+// Guards against a bad version that replaces the one in force, in whole or in part.
+TEST_F(holder, invalid_configuration_leaves_the_old_one_in_force)
+{
+    this->offer(10);
+    this->show(1, 1);
+    auto broken = std::make_shared<effective_config>(make_config(11, {"balcao"}));
+    broken->routes["balcao"].service = "absent";
+    EXPECT_FALSE(this->snapshots.offer_config(broken, this->now));
+    EXPECT_EQ(this->snapshots.pending_version(), 0U);
+    this->show(2, 9);
+    EXPECT_EQ(this->in_force(), 10U);
+}
+
+// Guards against endpoints that reappear when an older view arrives late.
+TEST_F(holder, view_of_an_older_generation_is_ignored)
+{
+    this->offer(10);
+    add_node(this->view, "n2", "alfama", "balcao");
+    this->show(5, 1);
+    ASSERT_EQ(this->snapshots.current()->services[0].endpoints.size(), 1U);
+    this->view.members.clear();
+    EXPECT_FALSE(this->show(4, 2));
+    EXPECT_EQ(this->snapshots.current()->services[0].endpoints.size(), 1U);
+    EXPECT_TRUE(this->show(6, 2));
+    EXPECT_TRUE(this->snapshots.current()->services[0].endpoints.empty());
+}
+
+// Guards against new work for targets that leave, and against calls to nodes that are gone.
+TEST_F(holder, only_live_nodes_and_targets_that_do_not_drain_become_endpoints)
+{
+    add_node(this->view, "n1", "alfama", "balcao");
+    add_node(this->view, "n2", "belem", "balcao").status = member_status::suspect;
+    add_node(this->view, "n3", "alfama", "balcao").status = member_status::dead;
+    add_node(this->view, "n4", "graca", "balcao").status = member_status::unreachable;
+    add_node(this->view, "n5", "alfama", "balcao").record.state = member_state::draining;
+    add_node(this->view, "n6", "alfama", "balcao").record.state = member_state::joining;
+    add_node(this->view, "n7", "alfama", "balcao").record.targets[0].state = target_state::draining;
+    add_node(this->view, "n8", "alfama", "balcao").record.targets[0].state = target_state::cold;
+    add_node(this->view, "n9", "alfama", "unknown");
+    this->offer(10);
+    this->show(1, 1);
+    std::vector<std::string> keys;
+    for (const auto& candidate : this->snapshots.current()->services[0].endpoints) {
+        keys.push_back(candidate.key + (candidate.own ? " own" : "") + (candidate.local ? " local" : ""));
+    }
+    EXPECT_EQ(keys, (std::vector<std::string>{"n1/t own local", "n8/t local", "n2/t"}));
+}
+
+} // namespace
+} // namespace kumquatdrift
--- /dev/null
+++ b/tests/routing/match.cpp
@@ -0,0 +1,94 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include <kumquatdrift/routing/match.hpp>
+
+#include "support/mesh_builders.hpp"
+
+namespace kumquatdrift {
+namespace {
+
+class route_matching : public testing::Test {
+protected:
+    void add(const std::string& name, const std::string& host, const std::string& prefix,
+             const std::vector<std::string>& methods = {})
+    {
+        auto& route = this->config.routes[name];
+        route.name = name;
+        route.host = host;
+        route.path_prefix = prefix;
+        route.methods = methods;
+        route.service = "balcao";
+    }
+
+    [[nodiscard]] std::string match(std::string_view host, std::string_view path,
+                                    std::string_view method = "GET")
+    {
+        const auto snapshot = build_snapshot(this->config, member_view{});
+        if (!snapshot) {
+            return "invalid";
+        }
+        const auto found = match_route(**snapshot, host, path, method);
+        if (!found.route) {
+            return std::string{to_name(found.kind)};
+        }
+        return (*snapshot)->routes[*found.route].config.name;
+    }
+
+    effective_config config{make_config(1, {"balcao"})};
+};
+
+// Guards against a request that reaches the service of a less specific route.
+TEST_F(route_matching, exact_host_precedes_longer_prefix_of_any_host)
+{
+    this->add("any", "", "/fittings/today");
+    this->add("exact", "gowns.example", "/fittings");
+    EXPECT_EQ(this->match("gowns.example", "/fittings/today"), "exact");
+    EXPECT_EQ(this->match("GOWNS.example:8080", "/fittings/today"), "exact");
+    EXPECT_EQ(this->match("other.example", "/fittings/today"), "any");
+}
+
+// Guards against a prefix that matches half a segment.
+TEST_F(route_matching, prefix_matches_whole_segments_only)
+{
+    this->add("short", "", "/gowns");
+    this->add("long", "", "/gowns/silk");
+    EXPECT_EQ(this->match("h", "/gowns/silk/7?size=3"), "long");
+    EXPECT_EQ(this->match("h", "/gowns/silken"), "short");
+    EXPECT_EQ(this->match("h", "/gowns?x=/gowns/silk"), "short");
+    EXPECT_EQ(this->match("h", "/gownsandmore"), "no_route");
+}
+
+// Guards against a 404 where a 405 with the allowed methods is due.
+TEST_F(route_matching, known_path_with_unknown_method_is_told_apart)
+{
+    this->add("read", "", "/gowns", {"GET", "HEAD"});
+    this->add("write", "", "/gowns", {"POST"});
+    EXPECT_EQ(this->match("h", "/gowns", "POST"), "write");
+    EXPECT_EQ(this->match("h", "/gowns", "DELETE"), "method_not_allowed");
+    const auto snapshot = build_snapshot(this->config, member_view{});
+    EXPECT_EQ(allowed_methods(**snapshot, "h", "/gowns"), (std::vector<std::string>{"GET", "HEAD", "POST"}));
+}
+
+// Guards against a path that one route covers and that the target resolves to a path of another route.
+TEST_F(route_matching, dot_segments_are_rejected)
+{
+    this->add("all", "", "/");
+    for (const auto* path : {"/gowns/../admin", "/./x", "/x/%2e%2E/admin", "/x/.%2e", "x", ""}) {
+        EXPECT_EQ(this->match("h", path), "malformed_path") << path;
+    }
+    EXPECT_EQ(this->match("h", "/x/.../y.z/.well-known"), "all");
+}
+
+// Guards against a route without a service in the snapshot.
+TEST_F(route_matching, route_to_missing_service_is_rejected_as_a_whole)
+{
+    this->add("broken", "", "/broken");
+    this->config.routes["broken"].service = "absent";
+    EXPECT_EQ(this->match("h", "/balcao"), "invalid");
+}
+
+} // namespace
+} // namespace kumquatdrift
