Decide claims on idempotency keys from the log order

A claim folds to the first one on its key only if the reader has seen every record between the position of its writer (read_to) and the claim; otherwise an expired record could hide a claim that another owner granted. A key is free only when every claim on it is released or expired. Freeing it when the believed holder alone is released was ruled out: two readers that start at different offsets can disagree on the holder. A copy of a claim that lands after the release of its attempt has no effect. Keys are protected for the retention of the log, which must be longer than any deadline; max_wait bounds the wait of a claim.

--- a/include/kumquatdrift/claims/state.hpp
+++ b/include/kumquatdrift/claims/state.hpp
@@ -140,6 +140,9 @@
     microseconds follow_up_wait{50'000};
     /*! @brief Entries in one record. */
     std::size_t max_batch_entries{256};
+    /*! @brief Longest time that a claim waits. It must be well below the retention of the log: a claim that
+     * is granted after its own record has expired protects nothing. */
+    microseconds max_wait{30'000'000};
     /*! @brief Claims that wait for a decision. */
     std::size_t max_waiting{4'096};
     /*! @brief Completions and releases that wait to be written. */
@@ -186,6 +189,8 @@
     timestamp arrived{};
     /*! @brief True once a record with the claim was, or may have been, appended. */
     bool recorded{};
+    /*! @brief True while an append with the claim is in progress. */
+    bool in_flight{};
 };
 
 /*! @brief Decision on a waiting claim. */
