Serve claims at the partition owner over gRPC

An entry node sends a claim to the first owner by rendezvous rank, and after 300 ms of silence with the same attempt id also to the second, which takes over before membership declares the first dead. Sending one attempt to two owners is safe because the log decides. Whatever is not granted in time and may be in the log is released. A node serves a partition only if it is one of the two owners in its own view. Partitions stay on one of four threads; their state has no locks. At most 16 channels to other owners are open.

With one owner per partition, next_owner_takes_over_from_a_dead_one_with_its_claims fails; without the release of late claims, claim_that_a_slow_log_decides_too_late_is_released fails.

The gRPC server must be shut down after claim_service::stop, which answers the waiting calls.

--- a/include/kumquatdrift/claims/service.hpp
+++ b/include/kumquatdrift/claims/service.hpp
@@ -27,6 +27,8 @@
     std::size_t threads{4};
     /*! @brief Requests that may wait in the ring of one thread. */
     std::size_t ring_capacity{4'096};
+    /*! @brief Time after which a claim is also sent to the next owner by rank while the first is silent. */
+    milliseconds hedge_delay{300};
     /*! @brief Channels to other owners that are kept open. */
     std::size_t max_channels{16};
     /*! @brief Time after which the state of a partition is dropped that this node no longer owns. */
@@ -64,7 +66,7 @@
     [[nodiscard]] static result<std::unique_ptr<claim_service>>
     create(log_port log, std::string node, view_function view, const claim_service_settings& settings = {});
 
-    /*! @brief Stops the threads. Waiting claims are answered `unavailable`. */
+    /*! @brief Stops the threads. */
     ~claim_service();
 
     claim_service(const claim_service&) = delete;
@@ -81,12 +83,15 @@
     /**
      * @brief Returns the gRPC service to register on the node's server. Owned by this object.
      *
-     * The server must be shut down before this object is destroyed.
+     * Call `stop` before the server is shut down, and destroy this object after that.
      *
      * @return The gRPC service.
      */
     [[nodiscard]] grpc::Service& grpc_service() noexcept;
 
+    /*! @brief Answers the waiting claims `unavailable` and rejects new ones. */
+    void stop();
+
     /**
      * @brief Returns counters.
      * @return The status.
@@ -97,7 +102,7 @@
     struct implementation;
 
 private:
-    explicit claim_service(std::unique_ptr<implementation> parts) noexcept;
+    explicit claim_service(std::unique_ptr<implementation> made) noexcept;
 
     std::unique_ptr<implementation> parts;
 };
--- a/include/kumquatdrift/distribution/service.hpp
+++ b/include/kumquatdrift/distribution/service.hpp
@@ -142,7 +142,7 @@
     struct implementation;
 
 private:
-    explicit distribution_service(std::unique_ptr<implementation> parts) noexcept;
+    explicit distribution_service(std::unique_ptr<implementation> made) noexcept;
 
     std::unique_ptr<implementation> parts;
 };
--- /dev/null
+++ b/src/claims/client.hpp
@@ -0,0 +1,99 @@
+#ifndef KUMQUATDRIFT_CLAIMS_CLIENT_HPP
+#define KUMQUATDRIFT_CLAIMS_CLIENT_HPP
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <kumquatdrift/claims/service.hpp>
+#include <kumquatdrift/core/bounded_ring.hpp>
+
+#include "claims/channels.hpp"
+#include "claims/owner_pool.hpp"
+#include "claims/owners.hpp"
+
+namespace kumquatdrift::internal {
+
+class claim_call;
+
+/*! @brief The entry node's side of claims: finds the owner, asks it, and writes completions and releases. */
+class claim_client {
+public:
+    /**
+     * @brief Starts the thread that writes completions and releases.
+     * @param self Name of this node.
+     * @param table Owners of the partitions.
+     * @param local Partitions of this node.
+     * @param chosen Settings.
+     */
+    claim_client(std::string self, owner_table& table, owner_pool& local,
+                 const claim_service_settings& chosen);
+
+    /*! @brief Stops the thread. */
+    ~claim_client();
+
+    claim_client(const claim_client&) = delete;
+    claim_client(claim_client&&) = delete;
+    claim_client& operator=(const claim_client&) = delete;
+    claim_client& operator=(claim_client&&) = delete;
+
+    /**
+     * @brief Claims a key. Blocks until decided or until the deadline.
+     * @param request The request.
+     * @return The answer.
+     */
+    [[nodiscard]] claim_answer claim(const claim_request& request);
+
+    /**
+     * @brief Queues a completion or a release.
+     * @param entry The entry.
+     */
+    void follow_up(claim_entry entry);
+
+    /*! @brief Stops the thread. Follow-ups that were not written are lost and counted. */
+    void stop();
+
+    /**
+     * @brief Adds the counters of the client to a status.
+     * @param status The status.
+     */
+    void add_to(claim_service_status& status) const;
+
+private:
+    struct pending_follow_up {
+        claim_entry entry{};
+        timestamp give_up{};
+        timestamp due{};
+        std::uint32_t tries{};
+    };
+
+    using follow_up_ring = bounded_ring<pending_follow_up>;
+
+    void ask(const std::shared_ptr<claim_call>& call, const owner_node& owner);
+    [[nodiscard]] bool ask_owners(const std::shared_ptr<claim_call>& call);
+    void run();
+    void send(pending_follow_up pending);
+    void send_remote(pending_follow_up pending, const std::string& address);
+    void retry_later(pending_follow_up pending);
+
+    std::string node;
+    owner_table& owners;
+    owner_pool& pool;
+    claim_service_settings settings;
+    claim_channels channels;
+    std::shared_ptr<follow_up_ring> ring;
+    std::shared_ptr<follow_up_ring> failed;
+    std::vector<pending_follow_up> retries{};
+    std::atomic<std::uint64_t> remote_calls{};
+    std::atomic<std::uint64_t> lost_follow_ups{};
+    random_engine rng{std::random_device{}()};
+    std::atomic<bool> stopped{};
+    std::thread thread{};
+};
+
+} // namespace kumquatdrift::internal
+
+#endif
--- /dev/null
+++ b/src/claims/messages.hpp
@@ -0,0 +1,61 @@
+#ifndef KUMQUATDRIFT_CLAIMS_MESSAGES_HPP
+#define KUMQUATDRIFT_CLAIMS_MESSAGES_HPP
+
+#include <claims.pb.h>
+
+#include "claims/owner_pool.hpp"
+
+namespace kumquatdrift::internal {
+
+/**
+ * @brief Fills a claimant from a request or an entry.
+ * @param claimant Message to fill.
+ * @param source Object with route, key and attempt.
+ */
+template<typename Source>
+void fill_claimant(claims::v1::Claimant& claimant, const Source& source)
+{
+    claimant.set_route(source.route);
+    claimant.set_key(source.key);
+    claimant.set_attempt(source.attempt);
+}
+
+/**
+ * @brief Converts a stored answer to its message.
+ * @param answer The answer.
+ * @return The message.
+ */
+[[nodiscard]] claims::v1::StoredAnswer to_message(const stored_answer& answer);
+
+/**
+ * @brief Converts a message to a stored answer.
+ * @param message The message.
+ * @return The answer.
+ */
+[[nodiscard]] stored_answer from_message(const claims::v1::StoredAnswer& message);
+
+/**
+ * @brief Converts an owner's reply to its message.
+ * @param reply The reply.
+ * @return The message.
+ */
+[[nodiscard]] claims::v1::ClaimReply to_message(const owner_reply& reply);
+
+/**
+ * @brief Converts a message to an owner's reply. An unknown outcome becomes `unavailable`.
+ * @param message The message.
+ * @return The reply.
+ */
+[[nodiscard]] owner_reply from_message(const claims::v1::ClaimReply& message);
+
+/**
+ * @brief Makes the entry of a completion or a release from its messages.
+ * @param kind Kind of the entry.
+ * @param claimant The claimant.
+ * @return The entry.
+ */
+[[nodiscard]] claim_entry to_entry(claim_entry_kind kind, const claims::v1::Claimant& claimant);
+
+} // namespace kumquatdrift::internal
+
+#endif
--- /dev/null
+++ b/src/claims/service.cpp
@@ -0,0 +1,169 @@
+#include <kumquatdrift/claims/service.hpp>
+
+#include <algorithm>
+
+#include <claims.grpc.pb.h>
+
+#include "claims/client.hpp"
+#include "claims/messages.hpp"
+#include "claims/owner_pool.hpp"
+#include "claims/owners.hpp"
+
+namespace kumquatdrift {
+namespace {
+
+constexpr std::size_t max_threads = 32;
+
+/*! @brief gRPC side of the owner. */
+class claims_endpoint final : public claims::v1::Claims::CallbackService {
+public:
+    explicit claims_endpoint(internal::owner_pool& target) : pool{target} {}
+
+    grpc::ServerUnaryReactor* Claim(grpc::CallbackServerContext* context, const claims::v1::ClaimCall* call,
+                                    claims::v1::ClaimReply* reply) override
+    {
+        auto* reactor = context->DefaultReactor();
+        const auto& claimant = call->claimant();
+        this->pool.claim({claimant.route(), claimant.key(), claimant.attempt(),
+                          steady_now() + milliseconds{call->remaining_ms()}},
+                         [reactor, reply](const internal::owner_reply& decided) {
+                             *reply = internal::to_message(decided);
+                             reactor->Finish(grpc::Status::OK);
+                         });
+        return reactor;
+    }
+
+    // NOLINTNEXTLINE(readability-identifier-naming): the name comes from the generated base class.
+    grpc::ServerUnaryReactor* Complete(grpc::CallbackServerContext* context,
+                                       const claims::v1::CompleteCall* call,
+                                       claims::v1::FollowUpReply* reply) override
+    {
+        auto entry = internal::to_entry(claim_entry_kind::completed, call->claimant());
+        entry.answer = internal::from_message(call->answer());
+        return this->accept(*context, std::move(entry), *reply);
+    }
+
+    // NOLINTNEXTLINE(readability-identifier-naming): the name comes from the generated base class.
+    grpc::ServerUnaryReactor* Release(grpc::CallbackServerContext* context,
+                                      const claims::v1::ReleaseCall* call,
+                                      claims::v1::FollowUpReply* reply) override
+    {
+        return this->accept(*context, internal::to_entry(claim_entry_kind::released, call->claimant()),
+                            *reply);
+    }
+
+private:
+    grpc::ServerUnaryReactor* accept(grpc::CallbackServerContext& context, claim_entry entry,
+                                     claims::v1::FollowUpReply& reply)
+    {
+        reply.set_accepted(this->pool.follow_up(std::move(entry)));
+        auto* reactor = context.DefaultReactor();
+        reactor->Finish(grpc::Status::OK);
+        return reactor;
+    }
+
+    internal::owner_pool& pool;
+};
+
+result<bool> check(const log_port& log, const std::string& node, const claim_service::view_function& view,
+                   const claim_service_settings& settings)
+{
+    const auto& limits = settings.limits;
+    if (!log.append || !log.read || !view || node.empty()) {
+        return failure{"the claim service needs a log port, a node name and a member view"};
+    }
+    if (settings.threads < 1 || settings.threads > max_threads) {
+        return failure{"the claim service takes 1 to 32 threads"};
+    }
+    if (settings.ring_capacity < 1 || settings.max_channels < 1 || limits.max_batch_entries < 1 ||
+        limits.read_limit < 1) {
+        return failure{"ring_capacity, max_channels, max_batch_entries and read_limit must be at least 1"};
+    }
+    if (limits.appends_per_second <= 0.0 || limits.append_burst < 1.0) {
+        return failure{"appends_per_second must be above 0 and append_burst at least 1"};
+    }
+    return true;
+}
+
+} // namespace
+
+struct claim_service::implementation {
+    implementation(log_port log, std::string self, view_function view, const claim_service_settings& settings)
+        : node{std::move(self)}, owners{std::move(view)}, pool{std::move(log),
+                                                               [this](std::size_t partition) {
+                                                                   return this->owns(partition);
+                                                               },
+                                                               settings},
+          client{this->node, this->owners, this->pool, settings}, endpoint{this->pool}
+    {
+    }
+
+    [[nodiscard]] bool owns(std::size_t partition)
+    {
+        const auto ranked = this->owners.owners_of(partition);
+        return std::any_of(ranked.begin(), ranked.end(),
+                           [this](const auto& owner) { return owner.node == this->node; });
+    }
+
+    std::string node;
+    internal::owner_table owners;
+    internal::owner_pool pool;
+    internal::claim_client client;
+    claims_endpoint endpoint;
+};
+
+result<std::unique_ptr<claim_service>> claim_service::create(log_port log, std::string node,
+                                                             view_function view,
+                                                             const claim_service_settings& settings)
+{
+    const auto usable = check(log, node, view, settings);
+    if (!usable) {
+        return failure{usable.last_reason()};
+    }
+    auto made = std::make_unique<implementation>(std::move(log), std::move(node), std::move(view), settings);
+    return std::unique_ptr<claim_service>{new claim_service{std::move(made)}};
+}
+
+claim_service::claim_service(std::unique_ptr<implementation> made) noexcept : parts{std::move(made)} {}
+
+claim_service::~claim_service()
+{
+    this->stop();
+}
+
+claim_port claim_service::port()
+{
+    auto& client = this->parts->client;
+    claim_port made;
+    made.claim = [&client](const claim_request& request) { return client.claim(request); };
+    made.complete = [&client](const claim_request& request, stored_answer answer) {
+        client.follow_up(
+            {claim_entry_kind::completed, request.route, request.key, request.attempt, std::move(answer)});
+    };
+    made.release = [&client](const claim_request& request) {
+        client.follow_up(
+            {claim_entry_kind::released, request.route, request.key, request.attempt, std::nullopt});
+    };
+    return made;
+}
+
+grpc::Service& claim_service::grpc_service() noexcept
+{
+    return this->parts->endpoint;
+}
+
+void claim_service::stop()
+{
+    this->parts->client.stop();
+    this->parts->pool.stop();
+}
+
+claim_service_status claim_service::status() const
+{
+    claim_service_status status;
+    this->parts->pool.add_to(status);
+    this->parts->client.add_to(status);
+    return status;
+}
+
+} // namespace kumquatdrift
