--- a/include/kumquatdrift/traffic/quarantine.hpp
+++ b/include/kumquatdrift/traffic/quarantine.hpp
@@ -94,9 +94,9 @@
  * when it was in flight at two deaths and no other suspect was in flight at all of the same deaths. Until
  * then, at most one suspect runs at each target, so that the next death tells suspects apart.
  *
- * Targets lost to one request that crashes each target, as long as its record is not evicted: of `c`
- * copies in flight before the first death is known, at most max(2, c) with one node, and one more if an
- * innocent request was in flight at all of these deaths. With `n` nodes, n times as many as long as no
+ * Targets lost to one request that crashes each target, as long as its record is not evicted: with `c`
+ * copies in flight before the first death is known, at most max(2, c) at one node, and one more if c > 1 and
+ * an innocent request was in flight at all of these deaths. With `n` nodes, n times as many as long as no
  * advisory arrives; at most 1 + n after the first death is known to all; and 2 if each death is known to all
  * before the next attempt. Each end of a quarantine costs at most one more target per node. A request that
  * crashes some targets and succeeds at others is cleared by each success; it is not bounded.
@@ -132,7 +132,8 @@
                                             timestamp now);
 
     /**
-     * @brief Reports that a target died.
+     * @brief Reports that a target died. Its node reports all requests in flight at once; an entry node
+     *        reports its own, one by one, as the answers arrive (`suggests_crash`).
      * @param in_flight Fingerprints of the requests that it ran.
      * @param target Key of the target.
      * @param now Current time.
@@ -140,7 +141,8 @@
     void on_target_died(std::span<const std::uint64_t> in_flight, std::string_view target, timestamp now);
 
     /**
-     * @brief Reports a complete answer with any status: the target survived the request.
+     * @brief Reports a complete answer, with any status, to a request that the target ran and so survived.
+     *        Not for an answer with the verdict `not_run`, which proves nothing.
      * @param fingerprint Fingerprint of the request.
      * @param target Key of the target.
      * @param now Current time.
--- a/include/kumquatdrift/traffic/verdicts.hpp
+++ b/include/kumquatdrift/traffic/verdicts.hpp
@@ -86,9 +86,22 @@
 [[nodiscard]] verdict verdict_of(const hop_observation& observation) noexcept;
 
 /**
- * @brief Tells whether the observation shows that the target died.
- * @param observation What the target's node saw.
- * @return True if the target lost the connection after bytes were sent and before a complete answer.
+ * @brief Combines the verdicts of two attempts of one call. The last attempt alone would hide an earlier run.
+ * @param earlier Verdict of all earlier attempts.
+ * @param latest Verdict of the last attempt.
+ * @return The stronger of the two: `ran`, then `may_have_run`, then `not_run`.
+ */
+[[nodiscard]] verdict combine_verdicts(verdict earlier, verdict latest) noexcept;
+
+/*! @brief Status with which the target's node answers after the target lost the connection in a run. It
+ *         answers refusals with 503 and timeouts with 504. */
+inline constexpr std::uint16_t target_lost_status = 502;
+
+/**
+ * @brief Tells whether the observation suggests that the target died.
+ * @param observation What the sender saw.
+ * @return True if the target lost the connection after bytes were sent and before a complete answer, or if
+ *         the target's node answers with `target_lost_status` and the verdict `may_have_run`.
  */
 [[nodiscard]] bool suggests_crash(const hop_observation& observation) noexcept;
 
--- a/src/traffic/verdicts.cpp
+++ b/src/traffic/verdicts.cpp
@@ -1,8 +1,12 @@
 #include <kumquatdrift/traffic/verdicts.hpp>
 
+#include <algorithm>
+
 namespace kumquatdrift {
 namespace {
 
+static_assert(verdict::not_run < verdict::may_have_run && verdict::may_have_run < verdict::ran);
+
 constexpr std::uint16_t first_error_status = 400;
 constexpr std::uint16_t first_server_error_status = 500;
 constexpr std::uint16_t too_many_requests = 429;
@@ -44,10 +48,18 @@
     return verdict::may_have_run;
 }
 
+verdict combine_verdicts(verdict earlier, verdict latest) noexcept
+{
+    return std::max(earlier, latest);
+}
+
 bool suggests_crash(const hop_observation& observation) noexcept
 {
-    return observation.peer == hop_peer::target && observation.end == hop_end::connection_lost &&
-           observation.bytes_sent > 0;
+    if (observation.peer == hop_peer::node) {
+        return observation.end == hop_end::answered && observation.status == target_lost_status &&
+               observation.verdict_text == to_name(verdict::may_have_run);
+    }
+    return observation.end == hop_end::connection_lost && observation.bytes_sent > 0;
 }
 
 bool is_reusable(const hop_observation& observation) noexcept
--- /dev/null
+++ b/tests/traffic/verdicts.cpp
@@ -0,0 +1,128 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <string_view>
+
+#include <kumquatdrift/traffic/verdicts.hpp>
+
+namespace kumquatdrift {
+namespace {
+
+struct verdict_case {
+    std::string_view what{};
+    hop_observation seen{};
+    verdict expected{};
+    bool crash{};
+};
+
+constexpr auto target = hop_peer::target;
+constexpr auto node = hop_peer::node;
+constexpr std::nullopt_t none = std::nullopt;
+
+// One row for each way in which a hop can end. The second number is the bytes sent.
+constexpr std::array cases{
+    verdict_case{"rejected by admission", {target, hop_end::not_sent, 0, none, none}, verdict::not_run},
+    verdict_case{"timeout in queue", {target, hop_end::queue_timed_out, 0, none, none}, verdict::not_run},
+    verdict_case{"connect refused", {target, hop_end::connect_refused, 0, none, none}, verdict::not_run},
+    verdict_case{"connect timeout", {target, hop_end::connect_timed_out, 0, none, none}, verdict::not_run},
+    verdict_case{
+        "reset before the head", {target, hop_end::connection_lost, 0, none, none}, verdict::not_run},
+    verdict_case{
+        "reset in the head", {target, hop_end::connection_lost, 1, none, none}, verdict::may_have_run, true},
+    verdict_case{"reset in the body",
+                 {target, hop_end::connection_lost, 900, none, none},
+                 verdict::may_have_run,
+                 true},
+    verdict_case{"reset in the answer",
+                 {target, hop_end::connection_lost, 900, 200, none},
+                 verdict::may_have_run,
+                 true},
+    verdict_case{"reset in a refusal",
+                 {target, hop_end::connection_lost, 900, 503, "not_run"},
+                 verdict::may_have_run,
+                 true},
+    verdict_case{"timeout before the head", {target, hop_end::timed_out, 0, none, none}, verdict::not_run},
+    verdict_case{"timeout in run", {target, hop_end::timed_out, 900, none, none}, verdict::may_have_run},
+    verdict_case{"timeout in answer", {target, hop_end::timed_out, 900, 200, none}, verdict::may_have_run},
+    verdict_case{"cancelled before the head", {target, hop_end::cancelled, 0, none, none}, verdict::not_run},
+    verdict_case{"cancelled in run", {target, hop_end::cancelled, 900, none, none}, verdict::may_have_run},
+    verdict_case{
+        "malformed answer", {target, hop_end::malformed_answer, 900, none, none}, verdict::may_have_run},
+    verdict_case{"answer 200", {target, hop_end::answered, 900, 200, none}, verdict::ran},
+    verdict_case{"answer 404", {target, hop_end::answered, 900, 404, none}, verdict::ran},
+    verdict_case{"answer 500", {target, hop_end::answered, 900, 500, none}, verdict::may_have_run},
+    verdict_case{
+        "shed without statement", {target, hop_end::answered, 900, 503, none}, verdict::may_have_run},
+    verdict_case{"429 without statement", {target, hop_end::answered, 900, 429, none}, verdict::may_have_run},
+    verdict_case{"target says not run", {target, hop_end::answered, 900, 503, "not_run"}, verdict::not_run},
+    verdict_case{
+        "target says not run, 429", {target, hop_end::answered, 900, 429, "not_run"}, verdict::not_run},
+    verdict_case{"target says ran", {target, hop_end::answered, 900, 500, "ran"}, verdict::ran},
+    verdict_case{"contradiction", {target, hop_end::answered, 900, 200, "not_run"}, verdict::may_have_run},
+    verdict_case{
+        "unknown statement", {target, hop_end::answered, 900, 503, "Not_Run"}, verdict::may_have_run},
+    verdict_case{"empty statement", {target, hop_end::answered, 900, 503, ""}, verdict::may_have_run},
+    verdict_case{
+        "answer without status", {target, hop_end::answered, 900, none, none}, verdict::may_have_run},
+    verdict_case{"node refused", {node, hop_end::connect_refused, 0, none, none}, verdict::not_run},
+    verdict_case{"node connect timeout", {node, hop_end::connect_timed_out, 0, none, none}, verdict::not_run},
+    verdict_case{
+        "node lost before the head", {node, hop_end::connection_lost, 0, none, none}, verdict::not_run},
+    verdict_case{"node lost", {node, hop_end::connection_lost, 1, none, none}, verdict::may_have_run},
+    verdict_case{"node timeout", {node, hop_end::timed_out, 900, none, none}, verdict::may_have_run},
+    verdict_case{"node says not run", {node, hop_end::answered, 900, 503, "not_run"}, verdict::not_run},
+    verdict_case{"node says the target was lost",
+                 {node, hop_end::answered, 900, 502, "may_have_run"},
+                 verdict::may_have_run,
+                 true},
+    verdict_case{
+        "node says timeout", {node, hop_end::answered, 900, 504, "may_have_run"}, verdict::may_have_run},
+    verdict_case{"node passes a 502 on", {node, hop_end::answered, 900, 502, none}, verdict::may_have_run},
+    verdict_case{"node passes an answer on", {node, hop_end::answered, 900, 201, none}, verdict::ran},
+};
+
+class verdict_table : public testing::Test {};
+
+// Guards against invariant 5: a `not_run` for a request that ran. Each row is one way in which a call fails.
+TEST_F(verdict_table, each_end_of_a_hop_has_its_verdict)
+{
+    for (const auto& row : cases) {
+        EXPECT_EQ(to_name(verdict_of(row.seen)), to_name(row.expected)) << row.what;
+        EXPECT_EQ(suggests_crash(row.seen), row.crash) << row.what;
+        EXPECT_EQ(is_reusable(row.seen), row.seen.end == hop_end::answered) << row.what;
+    }
+}
+
+// Guards against an end that is added without a row in the table.
+TEST_F(verdict_table, each_end_occurs)
+{
+    for (const auto& [end, name] : enum_names<hop_end>::table) {
+        EXPECT_TRUE(std::any_of(cases.begin(), cases.end(), [end = end](const auto& row) {
+            return row.seen.end == end;
+        })) << name;
+    }
+}
+
+// Guards against `not_run` once a byte may have reached the peer, whatever the answer's head said before.
+TEST_F(verdict_table, no_incomplete_hop_with_bytes_sent_is_not_run)
+{
+    for (const auto& [end, name] : enum_names<hop_end>::table) {
+        for (const auto peer : {target, node}) {
+            const hop_observation seen{peer, end, 1, 503, "not_run"};
+            EXPECT_EQ(verdict_of(seen) == verdict::not_run, end == hop_end::answered) << name;
+        }
+    }
+}
+
+// Guards against `not_run` for a call whose first attempt may have run.
+TEST_F(verdict_table, call_has_the_strongest_verdict_of_its_attempts)
+{
+    EXPECT_EQ(combine_verdicts(verdict::may_have_run, verdict::not_run), verdict::may_have_run);
+    EXPECT_EQ(combine_verdicts(verdict::not_run, verdict::ran), verdict::ran);
+    EXPECT_EQ(combine_verdicts(verdict::not_run, verdict::not_run), verdict::not_run);
+}
+
+} // namespace
+} // namespace kumquatdrift
