Add the proxy: listeners, connection pool, caller path and peer path

POCO provides sockets, the accept loop and threads. Messages are parsed by Beast, because POCO's streams report a chunked body that was cut short as complete, and take a head without its end as valid. Beast 1.74 compares the body with an absent limit as too large, so the limit is set to the largest number.

--- a/include/kumquatdrift/proxy/fwd.hpp
+++ b/include/kumquatdrift/proxy/fwd.hpp
@@ -3,6 +3,15 @@
 
 namespace kumquatdrift {
 
+struct listener_limits;
+struct pool_limits;
+struct proxy_settings;
+struct proxy_ports;
+class channel;
+class connection_pool;
+class pooled_connection;
+class proxy_service;
+
 } // namespace kumquatdrift
 
 #endif
--- /dev/null
+++ b/include/kumquatdrift/proxy/settings.hpp
@@ -0,0 +1,59 @@
+#ifndef KUMQUATDRIFT_PROXY_SETTINGS_HPP
+#define KUMQUATDRIFT_PROXY_SETTINGS_HPP
+
+#include <cstdint>
+#include <string>
+
+#include <kumquatdrift/core/time.hpp>
+#include <kumquatdrift/proxy/fwd.hpp>
+
+namespace kumquatdrift {
+
+/*! @brief Limits of one HTTP listener. */
+struct listener_limits {
+    /*! @brief IP address and port to listen on; port 0 picks a free one. */
+    std::string address{"127.0.0.1:0"};
+    /*! @brief Largest number of connections. Each holds one thread; further ones get 503 and are closed. */
+    std::uint32_t max_connections{256};
+    /*! @brief Largest size of a request head in bytes, start line and line ends included. */
+    std::uint32_t max_header_bytes{16 * 1024};
+    /*! @brief Largest request body in bytes; a route may set a lower limit. */
+    std::uint64_t max_body_bytes{64ULL * 1024 * 1024};
+    /*! @brief Time for a whole request head. */
+    milliseconds header_time{5'000};
+    /*! @brief Time that a connection may be idle between requests. */
+    milliseconds idle_time{60'000};
+    /*! @brief Longest pause while a body is received or an answer is sent. */
+    milliseconds body_stall_time{10'000};
+    /*! @brief False to close each connection after one answer. */
+    bool keep_alive{true};
+};
+
+/*! @brief Limits of the pooled connections to nodes and targets. */
+struct pool_limits {
+    /*! @brief Largest number of connections to one node. */
+    std::uint32_t connections_per_node{64};
+    /*! @brief Largest number of connections to one target. */
+    std::uint32_t connections_per_target{64};
+    /*! @brief Time to establish a connection. */
+    milliseconds connect_timeout{500};
+    /*! @brief Idle connections are closed after this time. Below the idle time of the listeners, so that the
+     *         other side rarely closes first. */
+    milliseconds idle_time{20'000};
+};
+
+/*! @brief Settings of the proxy. */
+struct proxy_settings {
+    /*! @brief Name of this node. */
+    std::string node{};
+    /*! @brief Listener for callers. */
+    listener_limits caller{};
+    /*! @brief Listener for other nodes. */
+    listener_limits peer{};
+    /*! @brief Connections to nodes and targets. */
+    pool_limits pool{};
+};
+
+} // namespace kumquatdrift
+
+#endif
--- /dev/null
+++ b/src/proxy/caller_path.cpp
@@ -0,0 +1,133 @@
+#include "proxy/caller_path.hpp"
+
+#include <random>
+#include <utility>
+
+#include <boost/beast/http/field.hpp>
+
+#include <kumquatdrift/core/digest.hpp>
+#include <kumquatdrift/proxy/headers.hpp>
+#include <kumquatdrift/routing/match.hpp>
+
+#include "proxy/caller_request.hpp"
+#include "proxy/fields.hpp"
+
+namespace kumquatdrift::internal {
+
+namespace {
+
+constexpr milliseconds retry_after_drain{1'000};
+constexpr milliseconds retry_after_no_version{1'000};
+
+std::string joined(const std::vector<std::string>& names)
+{
+    std::string text;
+    for (const auto& name : names) {
+        text += (text.empty() ? "" : ", ") + name;
+    }
+    return text;
+}
+
+} // namespace
+
+caller_path::caller_path(const proxy_settings& settings, const proxy_dependencies& rest_of_node,
+                         target_host& local, const std::atomic<bool>& is_draining)
+    : dependencies{rest_of_node}, host{local}, draining{is_draining}, nodes{connection_pool::create(
+                                                                          {settings.pool.connections_per_node,
+                                                                           settings.pool.connect_timeout,
+                                                                           settings.pool.idle_time},
+                                                                          answer_buffer_bytes)},
+      metrics{*rest_of_node.metrics, "caller"},
+      // A restarted node must not reuse the attempt ids of its earlier process.
+      attempt_prefix{settings.node + '-' + to_hex(std::random_device{}()) + '-'}
+{
+}
+
+void caller_path::handle(exchange& client)
+{
+    const auto started = steady_now();
+    const auto& head = client.request().head();
+    hop_span span{this->dependencies.tracer, "caller", parse_traceparent(field_of(head, trace_header))};
+    route_metrics* counters = nullptr;
+    this->answer(client, span, counters);
+    if (counters == nullptr) {
+        counters = &this->metrics.of("none");
+    }
+    constexpr unsigned statuses_per_class = 100;
+    const auto status_class = client.status() / statuses_per_class;
+    if (status_class > 0 && status_class < counters->answers.size()) {
+        counters->answers.at(status_class)->add();
+    }
+    const std::chrono::duration<double> elapsed = steady_now() - started;
+    counters->latency->observe(elapsed.count());
+    span.tag("status", client.status());
+}
+
+void caller_path::answer(exchange& client, hop_span& span, route_metrics*& counters)
+{
+    if (this->draining) {
+        client.close_after();
+        client.refuse({503, verdict::not_run, retry_after_drain, "The node drains.", {}});
+        return;
+    }
+    const auto snapshot = this->dependencies.snapshot();
+    if (!snapshot) {
+        client.refuse({503, verdict::not_run, retry_after_no_version, "No configuration yet.", {}});
+        return;
+    }
+    const auto& head = client.request().head();
+    const auto host_name = field_of(head, "host");
+    const std::string path{head.target()};
+    const std::string method{head.method_string()};
+    const auto match = match_route(*snapshot, host_name, path, method);
+    if (!match.route) {
+        this->refuse_unmatched(client, *snapshot, host_name);
+        return;
+    }
+    const auto& route = snapshot->routes[*match.route];
+    counters = &this->metrics.of(route.config.name);
+    const in_flight_guard guard{counters->in_flight};
+    const auto most_in_flight = route.config.limits.max_in_flight;
+    if (most_in_flight > 0 && guard.count() > most_in_flight) {
+        const auto wait = retry_after_for(0, most_in_flight, route.config.deadline, thread_random());
+        client.refuse({503, verdict::not_run, wait, "Too many requests in flight on this route.", {}});
+        return;
+    }
+    request_body body{client, std::min(client.limits().max_body_bytes, route.config.limits.max_body_bytes)};
+    if (body.is_too_large()) {
+        client.refuse(refusal_of_body(read_status::body_too_large, verdict::not_run));
+        return;
+    }
+    this->state.refresh(*snapshot);
+    this->host.refresh(snapshot);
+    call request{client, body, method, path, {}, {}, {}, span.context()};
+    append_end_to_end(request.fields, head);
+    request.deadline = steady_now() + route.config.deadline;
+    caller_request{*this, *snapshot, route, request, *counters}.run();
+}
+
+void caller_path::refuse_unmatched(exchange& client, const routing_snapshot& snapshot,
+                                   std::string_view host_name)
+{
+    const auto& head = client.request().head();
+    const std::string path{head.target()};
+    const auto kind = match_route(snapshot, host_name, path, std::string{head.method_string()}).kind;
+    if (kind == match_kind::method_not_allowed) {
+        refusal answer{405, verdict::not_run, {}, "The route does not allow this method.", {}};
+        append_field(answer.fields, "Allow", joined(allowed_methods(snapshot, host_name, path)));
+        client.refuse(answer);
+    }
+    else if (kind == match_kind::malformed_path) {
+        client.refuse({400, verdict::not_run, {}, "The path is malformed or has dot segments.", {}});
+    }
+    else {
+        client.refuse({404, verdict::not_run, {}, "No route matches host and path.", {}});
+    }
+}
+
+std::string caller_path::next_attempt_id()
+{
+    return this->attempt_prefix + std::to_string(this->next_attempt.fetch_add(1));
+}
+
+} // namespace kumquatdrift::internal
--- /dev/null
+++ b/src/proxy/channel.cpp
@@ -0,0 +1,158 @@
+#include <kumquatdrift/proxy/channel.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <cerrno>
+#include <cstring>
+
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <Poco/Exception.h>
+
+namespace kumquatdrift {
+namespace {
+
+// POCO 1.11 creates and destroys an epoll instance for each poll of one socket, which is four system calls.
+int poll_until(pollfd* descriptors, nfds_t count, timestamp until) noexcept
+{
+    while (true) {
+        const auto left = std::max(until - steady_now(), microseconds{0});
+        const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(left);
+        const std::chrono::nanoseconds rest = left - seconds;
+        const timespec timeout{seconds.count(), rest.count()};
+        const auto ready = ::ppoll(descriptors, count, &timeout, nullptr);
+        if (ready >= 0 || errno != EINTR) {
+            return ready;
+        }
+    }
+}
+
+} // namespace
+
+channel::channel(const Poco::Net::StreamSocket& connected, std::size_t input_bytes)
+    : socket{connected}, descriptor{socket.impl()->sockfd()}, buffer(input_bytes)
+{
+    assert(input_bytes > 0);
+    // Without this, a head and a body that are sent separately wait for each other's acknowledgement.
+    this->socket.setNoDelay(true);
+}
+
+channel::~channel() = default;
+
+io_status channel::wait_input(timestamp until, const channel* watched) const noexcept
+{
+    std::array<pollfd, 2> descriptors{{{this->descriptor, POLLIN, 0}, {-1, POLLRDHUP, 0}}};
+    if (watched != nullptr) {
+        descriptors[1].fd = watched->descriptor;
+    }
+    const auto ready = poll_until(descriptors.data(), watched == nullptr ? 1 : 2, until);
+    if (ready <= 0) {
+        return io_status::timed_out;
+    }
+    return descriptors[0].revents != 0 ? io_status::ok : io_status::watched_closed;
+}
+
+io_status channel::receive(timestamp until, const channel* watched)
+{
+    assert(!this->is_full());
+    const auto waited = this->wait_input(until, watched);
+    if (waited != io_status::ok) {
+        return waited;
+    }
+    if (this->begin > 0) {
+        std::memmove(this->buffer.data(), this->buffer.data() + this->begin, this->end - this->begin);
+        this->end -= this->begin;
+        this->begin = 0;
+    }
+    const auto count =
+        ::recv(this->descriptor, this->buffer.data() + this->end, this->buffer.size() - this->end, 0);
+    if (count < 0) {
+        return io_status::failed;
+    }
+    this->end += static_cast<std::size_t>(count);
+    return count == 0 ? io_status::closed : io_status::ok;
+}
+
+std::string_view channel::input() const noexcept
+{
+    return {this->buffer.data() + this->begin, this->end - this->begin};
+}
+
+bool channel::is_full() const noexcept
+{
+    return this->end - this->begin == this->buffer.size();
+}
+
+void channel::consume(std::size_t count) noexcept
+{
+    assert(count <= this->end - this->begin);
+    this->begin += count;
+    if (this->begin == this->end) {
+        this->begin = 0;
+        this->end = 0;
+    }
+}
+
+io_status channel::send(std::string_view bytes, timestamp until)
+{
+    while (!bytes.empty()) {
+        const auto count = ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (count > 0) {
+            this->sent += static_cast<std::uint64_t>(count);
+            bytes.remove_prefix(static_cast<std::size_t>(count));
+            continue;
+        }
+        if (errno != EAGAIN && errno != EINTR) {
+            return io_status::failed;
+        }
+        pollfd writable{this->descriptor, POLLOUT, 0};
+        if (poll_until(&writable, 1, until) <= 0) {
+            return io_status::timed_out;
+        }
+    }
+    return io_status::ok;
+}
+
+bool channel::is_silent() const noexcept
+{
+    if (this->begin != this->end) {
+        return false;
+    }
+    char byte{};
+    const auto count = ::recv(this->descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && errno == EAGAIN;
+}
+
+bool channel::is_cut() const noexcept
+{
+    pollfd state{this->descriptor, POLLRDHUP, 0};
+    return ::poll(&state, 1, 0) > 0;
+}
+
+void channel::finish_sending() noexcept
+{
+    ::shutdown(this->descriptor, SHUT_WR);
+}
+
+void channel::shutdown() noexcept
+{
+    ::shutdown(this->descriptor, SHUT_RDWR);
+}
+
+void channel::abort() noexcept
+{
+    // A zero linger time makes close send a reset.
+    const linger none{1, 0};
+    ::setsockopt(this->descriptor, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+    try {
+        this->socket.close();
+    }
+    catch (const Poco::Exception&) {
+        // Already closed.
+    }
+    this->descriptor = -1;
+}
+
+} // namespace kumquatdrift
--- /dev/null
+++ b/src/proxy/exchange.cpp
@@ -0,0 +1,151 @@
+#include "proxy/exchange.hpp"
+
+#include <array>
+#include <cassert>
+#include <charconv>
+
+#include <boost/beast/http/status.hpp>
+#include <boost/beast/http/verb.hpp>
+
+#include <kumquatdrift/proxy/headers.hpp>
+
+namespace kumquatdrift::internal {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+// Output up to this size is joined with the head in one system call; larger blocks are sent without a copy.
+constexpr std::size_t join_bytes = 16 * 1024;
+
+std::string seconds_text(milliseconds time)
+{
+    return std::to_string(std::chrono::ceil<std::chrono::seconds>(time).count());
+}
+
+} // namespace
+
+void append_chunk(std::string& output, std::string_view data)
+{
+    assert(!data.empty());
+    constexpr std::size_t longest_size = 16;
+    constexpr int base = 16;
+    std::array<char, longest_size> size{};
+    const auto end = std::to_chars(size.data(), size.data() + size.size(), data.size(), base).ptr;
+    output.append(size.data(), end);
+    output += "\r\n";
+    output += data;
+    output += "\r\n";
+}
+
+exchange::exchange(channel& connection_of_client, request_reader& request_of_client,
+                   const listener_limits& listener_settings)
+    : connection{connection_of_client}, reader{request_of_client}, settings{listener_settings},
+      closing{!listener_settings.keep_alive || !request_of_client.keeps_alive()}
+{
+    const auto& head = this->reader.head();
+    // A 1.0 connection has no chunked answers, so that it ends with each answer.
+    this->closing = this->closing || head.version() < 11;
+    this->is_head = head.method() == http::verb::head;
+    const auto expects = boost::beast::iequals(head[http::field::expect], "100-continue");
+    this->awaiting_continue = expects && head.version() >= 11 && !this->reader.is_done();
+}
+
+bool exchange::send_continue()
+{
+    if (!this->awaiting_continue) {
+        return true;
+    }
+    this->awaiting_continue = false;
+    const auto until = steady_now() + this->settings.body_stall_time;
+    return this->connection.send("HTTP/1.1 100 Continue\r\n\r\n", until) == io_status::ok;
+}
+
+void exchange::start_answer(const answer_head& head)
+{
+    assert(!this->started);
+    this->started = true;
+    this->answer_status = head.status;
+    this->framing = head.framing;
+    const auto is_old = this->reader.head().version() < 11;
+    const auto reason = http::obsolete_reason(static_cast<http::status>(head.status));
+    this->output = "HTTP/1.1 " + std::to_string(head.status) + ' ';
+    this->output.append(reason.data(), reason.size());
+    this->output += "\r\n" + head.fields;
+    if (head.framing == body_framing::length) {
+        this->output += "Content-Length: " + std::to_string(head.length) + "\r\n";
+    }
+    else if (head.framing == body_framing::chunked && !is_old) {
+        this->output += "Transfer-Encoding: chunked\r\n";
+    }
+    // A client that waits for 100 may or may not send the body after a final answer.
+    this->closing = this->closing || this->awaiting_continue;
+    this->output += this->closing ? "Connection: close\r\n\r\n" : "\r\n";
+    if (this->framing == body_framing::chunked && is_old) {
+        this->framing = body_framing::length;
+    }
+}
+
+io_status exchange::send_block(std::string_view data, timestamp until)
+{
+    assert(this->started && !this->finished);
+    if (this->framing == body_framing::none) {
+        return io_status::ok;
+    }
+    if (this->framing == body_framing::chunked) {
+        append_chunk(this->output, data);
+        return this->flush(until);
+    }
+    if (this->output.size() + data.size() <= join_bytes) {
+        this->output += data;
+        return this->flush(until);
+    }
+    const auto flushed = this->flush(until);
+    return flushed == io_status::ok ? this->connection.send(data, until) : flushed;
+}
+
+io_status exchange::finish_answer(timestamp until)
+{
+    assert(this->started);
+    if (this->framing == body_framing::chunked) {
+        this->output += final_chunk;
+    }
+    const auto flushed = this->flush(until);
+    this->finished = flushed == io_status::ok;
+    this->closing = this->closing || !this->finished;
+    return flushed;
+}
+
+void exchange::abort_answer() noexcept
+{
+    this->closing = true;
+    this->connection.abort();
+}
+
+void exchange::refuse(const refusal& answer)
+{
+    if (this->started) {
+        return;
+    }
+    answer_head head{answer.status, answer.fields, body_framing::length, answer.reason.size() + 1};
+    head.fields += "Content-Type: text/plain\r\n";
+    head.fields += std::string{verdict_header} + ": " + std::string{to_name(answer.effect)} + "\r\n";
+    if (answer.retry_after.count() > 0) {
+        head.fields += "Retry-After: " + seconds_text(answer.retry_after) + "\r\n";
+    }
+    this->start_answer(head);
+    if (!this->is_head) {
+        this->output += answer.reason + '\n';
+    }
+    // A broken connection has no other remedy than to be closed, which finish_answer arranges.
+    static_cast<void>(this->finish_answer(steady_now() + this->settings.body_stall_time));
+}
+
+io_status exchange::flush(timestamp until)
+{
+    const auto sent = this->connection.send(this->output, until);
+    this->output.clear();
+    return sent;
+}
+
+} // namespace kumquatdrift::internal
--- /dev/null
+++ b/src/proxy/message_reader.cpp
@@ -0,0 +1,141 @@
+#include "proxy/message_reader.hpp"
+
+#include <cassert>
+#include <limits>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace kumquatdrift::internal {
+
+namespace http = boost::beast::http;
+
+template<bool is_request>
+message_reader<is_request>::message_reader(channel& io, std::uint32_t header_bytes, bool without_body)
+    : connection{io}
+{
+    this->parser.header_limit(header_bytes);
+    // The limits of listeners and routes are checked by the owner of the body. Beast 1.74 takes any
+    // Content-Length as too large if there is no limit at all.
+    this->parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    if constexpr (!is_request) {
+        this->parser.skip(without_body);
+    }
+}
+
+template<bool is_request>
+std::optional<read_status> message_reader<is_request>::parse()
+{
+    const auto input = this->connection.input();
+    if (input.empty()) {
+        return std::nullopt;
+    }
+    this->started = true;
+    boost::beast::error_code error;
+    const auto used = this->parser.put(boost::asio::buffer(input.data(), input.size()), error);
+    this->connection.consume(used);
+    if (!error || error == http::error::need_buffer) {
+        return read_status::ok;
+    }
+    if (error == http::error::need_more) {
+        return used > 0 ? std::optional{read_status::ok} : std::nullopt;
+    }
+    return error == http::error::header_limit ? read_status::header_too_large : read_status::malformed;
+}
+
+template<bool is_request>
+read_status message_reader<is_request>::receive(timestamp until, const channel* watched)
+{
+    if (this->connection.is_full()) {
+        // A chunk header or trailer that does not fit into the buffer.
+        return this->parser.is_header_done() ? read_status::malformed : read_status::header_too_large;
+    }
+    switch (this->connection.receive(until, watched)) {
+    case io_status::ok:
+        return read_status::ok;
+    case io_status::timed_out:
+        return read_status::timed_out;
+    case io_status::watched_closed:
+        return read_status::watched_closed;
+    case io_status::closed:
+        return this->started ? read_status::end : read_status::closed;
+    case io_status::failed:
+        break;
+    }
+    return this->started ? read_status::truncated : read_status::closed;
+}
+
+template<bool is_request>
+read_status message_reader<is_request>::read_head(timestamp until, const channel* watched)
+{
+    while (!this->parser.is_header_done()) {
+        const auto parsed = this->parse();
+        if (parsed && *parsed != read_status::ok) {
+            return *parsed;
+        }
+        if (parsed) {
+            continue;
+        }
+        const auto received = this->receive(until, watched);
+        if (received == read_status::end) {
+            return read_status::truncated;
+        }
+        if (received != read_status::ok) {
+            return received;
+        }
+    }
+    return read_status::ok;
+}
+
+template<bool is_request>
+body_block message_reader<is_request>::read_body(char* data, std::size_t size, timestamp until,
+                                                 const channel* watched)
+{
+    assert(size > 0);
+    auto& body = this->parser.get().body();
+    body.data = data;
+    body.size = size;
+    while (!this->parser.is_done()) {
+        const auto parsed = this->parse();
+        if (parsed && *parsed != read_status::ok) {
+            return {*parsed, 0};
+        }
+        if (body.size < size) {
+            return {read_status::ok, size - body.size};
+        }
+        if (parsed) {
+            continue;
+        }
+        const auto received = this->receive(until, watched);
+        if (received == read_status::end) {
+            boost::beast::error_code error;
+            this->parser.put_eof(error);
+            return {error ? read_status::truncated : read_status::end, 0};
+        }
+        if (received != read_status::ok) {
+            return {received, 0};
+        }
+    }
+    return {read_status::end, 0};
+}
+
+template class message_reader<true>;
+template class message_reader<false>;
+
+bool is_valid_request(const request_reader::head_type& head)
+{
+    const auto hosts = head.count(http::field::host);
+    const auto is_current = head.version() == 11;
+    if (hosts > 1 || (is_current && hosts == 0)) {
+        return false;
+    }
+    const auto codings = head.count(http::field::transfer_encoding);
+    if (codings == 0) {
+        return true;
+    }
+    // Beast accepts an unknown coding as a request without body; its bytes would be read as the next request.
+    const auto coding = head[http::field::transfer_encoding];
+    return codings == 1 && is_current && boost::beast::iequals(coding, "chunked");
+}
+
+} // namespace kumquatdrift::internal
--- /dev/null
+++ b/src/proxy/message_reader.hpp
@@ -0,0 +1,150 @@
+#ifndef KUMQUATDRIFT_PROXY_MESSAGE_READER_HPP
+#define KUMQUATDRIFT_PROXY_MESSAGE_READER_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <kumquatdrift/core/time.hpp>
+#include <kumquatdrift/proxy/channel.hpp>
+
+namespace kumquatdrift::internal {
+
+/*! @brief Outcome of reading a part of a message. */
+enum class read_status : std::uint8_t {
+    /*! @brief A head, or a part of a body, was read. */
+    ok,
+    /*! @brief The body is complete. */
+    end,
+    /*! @brief The connection was closed before the first byte. */
+    closed,
+    /*! @brief The connection was closed or broken inside the message. */
+    truncated,
+    /*! @brief The message is not valid HTTP. */
+    malformed,
+    /*! @brief The head is larger than the limit. */
+    header_too_large,
+    /*! @brief The body is larger than the limit. */
+    body_too_large,
+    /*! @brief The time is over. */
+    timed_out,
+    /*! @brief The watched connection was closed by its other side. */
+    watched_closed,
+};
+
+/*! @brief Part of a body. */
+struct body_block {
+    /*! @brief Outcome; bytes were read only if it is `ok`. */
+    read_status status{read_status::end};
+    /*! @brief Number of bytes. */
+    std::size_t bytes{};
+};
+
+/**
+ * @brief Reads one HTTP/1 message from a connection.
+ *
+ * POCO's message streams report a chunked body that was cut short as complete and take a head without its end
+ * as valid, so that Beast's parser is used on POCO's sockets.
+ *
+ * @tparam is_request True for requests, false for answers.
+ */
+template<bool is_request>
+class message_reader {
+public:
+    /*! @brief Type of the head. */
+    using head_type = boost::beast::http::header<is_request, boost::beast::http::fields>;
+
+    /**
+     * @brief Constructs a reader at the start of a message.
+     * @param io Connection. Its input buffer must be larger than the limit.
+     * @param header_bytes Largest head in bytes.
+     * @param without_body True if the message has no body whatever its head says, as an answer to HEAD.
+     */
+    message_reader(channel& io, std::uint32_t header_bytes, bool without_body = false);
+
+    /**
+     * @brief Reads the head.
+     * @param until Latest time.
+     * @param watched Connection whose end stops the wait; may be null.
+     * @return `ok`, or why there is no head.
+     */
+    [[nodiscard]] read_status read_head(timestamp until, const channel* watched = nullptr);
+
+    /**
+     * @brief Reads a part of the body.
+     * @param data Memory for the bytes.
+     * @param size Size of the memory, at least one.
+     * @param until Latest time.
+     * @param watched Connection whose end stops the wait; may be null.
+     * @return The outcome and the number of bytes.
+     */
+    [[nodiscard]] body_block read_body(char* data, std::size_t size, timestamp until,
+                                       const channel* watched = nullptr);
+
+    /*! @brief Returns the head. */
+    [[nodiscard]] const head_type& head() const noexcept
+    {
+        return this->parser.get().base();
+    }
+
+    /*! @brief Checks whether the message was read to its end. */
+    [[nodiscard]] bool is_done() const noexcept
+    {
+        return this->parser.is_done();
+    }
+
+    /*! @brief Checks whether the body is sent in chunks. */
+    [[nodiscard]] bool is_chunked() const noexcept
+    {
+        return this->parser.chunked();
+    }
+
+    /*! @brief Checks whether the body ends with the connection. */
+    [[nodiscard]] bool ends_with_connection() const noexcept
+    {
+        return this->parser.need_eof();
+    }
+
+    /*! @brief Checks whether the connection may carry another message. */
+    [[nodiscard]] bool keeps_alive() const noexcept
+    {
+        return this->parser.is_header_done() && this->parser.keep_alive();
+    }
+
+    /*! @brief Returns the announced length of the body, if there is one. */
+    [[nodiscard]] std::optional<std::uint64_t> announced_length() const
+    {
+        const auto length = this->parser.content_length();
+        return length ? std::optional<std::uint64_t>{*length} : std::nullopt;
+    }
+
+private:
+    // Parses buffered bytes once; `ok` means progress, nothing means that more bytes are needed.
+    [[nodiscard]] std::optional<read_status> parse();
+    [[nodiscard]] read_status receive(timestamp until, const channel* watched);
+
+    channel& connection;
+    boost::beast::http::parser<is_request, boost::beast::http::buffer_body> parser{};
+    bool started{};
+};
+
+/*! @brief Reader of requests. */
+using request_reader = message_reader<true>;
+
+/*! @brief Reader of answers. */
+using answer_reader = message_reader<false>;
+
+/**
+ * @brief Checks what Beast leaves open: one Host field, and `chunked` as the only transfer coding.
+ * @param head Head of the request.
+ * @return True if the request is valid.
+ */
+[[nodiscard]] bool is_valid_request(const request_reader::head_type& head);
+
+} // namespace kumquatdrift::internal
+
+#endif
--- /dev/null
+++ b/src/proxy/observe.cpp
@@ -0,0 +1,70 @@
+#include "proxy/observe.hpp"
+
+#include <mutex>
+#include <utility>
+
+#include "proxy/target_host.hpp"
+
+namespace kumquatdrift::internal {
+
+metrics_by_route::metrics_by_route(metrics_registry& registry, std::string listener)
+    : all{registry}, label{std::move(listener)}
+{
+}
+
+route_metrics& metrics_by_route::of(std::string_view route)
+{
+    {
+        const std::shared_lock lock{this->mutex};
+        if (const auto found = this->routes.find(route); found != this->routes.end()) {
+            return *found->second;
+        }
+    }
+    const std::unique_lock lock{this->mutex};
+    auto& entry = this->routes[std::string{route}];
+    if (!entry) {
+        entry = std::make_unique<route_metrics>();
+        const metrics_registry::labels series{{"listener", this->label}, {"route", std::string{route}}};
+        for (std::size_t index = 1; index < entry->answers.size(); ++index) {
+            auto by_class = series;
+            by_class.push_back({"status", std::to_string(index) + "xx"});
+            entry->answers.at(index) =
+                &this->all.counter_of("kumquatdrift_proxy_requests_total",
+                                      "Answers by listener, route and status class.", std::move(by_class));
+        }
+        entry->retries =
+            &this->all.counter_of("kumquatdrift_proxy_retries_total", "Retries by route.", series);
+        entry->latency = &this->all.histogram_of("kumquatdrift_proxy_request_seconds",
+                                                 "Time from request head to end of answer.", series);
+    }
+    return *entry;
+}
+
+hop_span::hop_span(const std::shared_ptr<ring_tracer>& tracer, std::string_view operation,
+                   const std::optional<trace_context>& parent)
+{
+    if (!tracer || (parent && !parent->sampled)) {
+        // Without a span to keep, the ids are all that is needed.
+        auto& rng = thread_random();
+        this->ids = parent ? child_of(*parent, rng) : start_trace(false, rng);
+        return;
+    }
+    const opentracing::string_view name{operation.data(), operation.size()};
+    if (parent) {
+        const span_context above{*parent};
+        this->span = tracer->StartSpan(name, {opentracing::ChildOf(&above)});
+    }
+    else {
+        this->span = tracer->StartSpan(name);
+    }
+    this->ids = dynamic_cast<const span_context&>(this->span->context()).ids();
+}
+
+void hop_span::tag(std::string_view name, const opentracing::Value& value)
+{
+    if (this->span && this->ids.sampled) {
+        this->span->SetTag({name.data(), name.size()}, value);
+    }
+}
+
+} // namespace kumquatdrift::internal
--- /dev/null
+++ b/src/proxy/service.cpp
@@ -0,0 +1,123 @@
+#include <kumquatdrift/proxy/service.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <cassert>
+#include <utility>
+
+#include "proxy/caller_path.hpp"
+#include "proxy/listener.hpp"
+#include "proxy/peer_path.hpp"
+#include "proxy/target_host.hpp"
+
+namespace kumquatdrift {
+
+struct proxy_service::implementation {
+    implementation(const proxy_settings& of_node, proxy_dependencies rest)
+        : settings{of_node}, dependencies{std::move(rest)}, host{settings.node,
+                                                                 {settings.pool.connections_per_target,
+                                                                  settings.pool.connect_timeout,
+                                                                  settings.pool.idle_time},
+                                                                 dependencies.on_advisory},
+          callers{settings, dependencies, host, draining}, peers{dependencies, host, draining}
+    {
+    }
+
+    // Counts a request that a listener refused before it reached a path.
+    internal::refusal_observer refusal_counter(const std::string& name)
+    {
+        auto& refused =
+            this->dependencies.metrics->counter_of("kumquatdrift_proxy_refused_total",
+                                                   "Requests that a listener refused as malformed or "
+                                                   "over a limit.",
+                                                   {{"listener", name}});
+        return [&refused](unsigned /*status*/) { refused.add(); };
+    }
+
+    proxy_settings settings;
+    proxy_dependencies dependencies;
+    std::atomic<bool> draining{};
+    std::atomic<std::uint32_t> in_flight{};
+    internal::target_host host;
+    internal::caller_path callers;
+    internal::peer_path peers;
+    std::unique_ptr<internal::listener> caller_listener{};
+    std::unique_ptr<internal::listener> peer_listener{};
+};
+
+result<std::unique_ptr<proxy_service>> proxy_service::create(const proxy_settings& settings,
+                                                             proxy_dependencies dependencies)
+{
+    assert(dependencies.snapshot && dependencies.claims.claim && dependencies.metrics != nullptr);
+    auto parts = std::make_unique<implementation>(settings, std::move(dependencies));
+    auto* const shared = parts.get();
+    auto callers = internal::listener::create(
+        settings.caller,
+        [shared](internal::exchange& client) {
+            const internal::in_flight_guard guard{shared->in_flight};
+            shared->callers.handle(client);
+        },
+        parts->refusal_counter("caller"));
+    if (!callers) {
+        return failure{callers.last_reason()};
+    }
+    parts->caller_listener = std::move(*callers);
+    auto peers = internal::listener::create(
+        settings.peer,
+        [shared](internal::exchange& client) {
+            const internal::in_flight_guard guard{shared->in_flight};
+            shared->peers.handle(client);
+        },
+        parts->refusal_counter("peer"));
+    if (!peers) {
+        return failure{peers.last_reason()};
+    }
+    parts->peer_listener = std::move(*peers);
+    return std::unique_ptr<proxy_service>{new proxy_service{std::move(parts)}};
+}
+
+proxy_service::proxy_service(std::unique_ptr<implementation> parts) noexcept : impl{std::move(parts)} {}
+
+proxy_service::~proxy_service() = default;
+
+proxy_ports proxy_service::ports() const noexcept
+{
+    return {this->impl->caller_listener->port(), this->impl->peer_listener->port()};
+}
+
+void proxy_service::update_targets(const std::vector<target_record>& targets)
+{
+    this->impl->host.update(targets, this->impl->dependencies.snapshot());
+}
+
+void proxy_service::offer_advisory(const crash_advisory& advisory)
+{
+    this->impl->host.offer_advisory(advisory);
+}
+
+std::vector<crash_advisory> proxy_service::advisories() const
+{
+    return this->impl->host.advisories();
+}
+
+void proxy_service::drain()
+{
+    this->impl->draining = true;
+    this->impl->host.drain();
+}
+
+std::size_t proxy_service::in_flight() const noexcept
+{
+    return this->impl->in_flight;
+}
+
+bool proxy_service::stop(milliseconds grace)
+{
+    const auto until = steady_now() + grace;
+    const auto callers_done = this->impl->caller_listener->stop(grace);
+    const auto left = std::chrono::duration_cast<milliseconds>(until - steady_now());
+    const auto peers_done = this->impl->peer_listener->stop(std::max(left, milliseconds{0}));
+    return callers_done && peers_done;
+}
+
+} // namespace kumquatdrift
--- /dev/null
+++ b/src/proxy/target_host.cpp
@@ -0,0 +1,326 @@
+#include "proxy/target_host.hpp"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include <kumquatdrift/proxy/headers.hpp>
+#include <kumquatdrift/telemetry/log.hpp>
+
+#include "proxy/fields.hpp"
+
+namespace kumquatdrift::internal {
+
+namespace {
+
+constexpr milliseconds retry_after_failure{1'000};
+constexpr milliseconds expiry_interval{1'000};
+constexpr std::uint16_t too_many_requests = 429;
+constexpr std::uint16_t unavailable = 503;
+
+run_outcome outcome_of(const hop_observation& observation)
+{
+    if (observation.end != hop_end::answered) {
+        return run_outcome::failed;
+    }
+    const auto is_shed = observation.status == too_many_requests || observation.status == unavailable;
+    return is_shed ? run_outcome::shed : run_outcome::answered;
+}
+
+hop_end end_of(connect_status status)
+{
+    switch (status) {
+    case connect_status::refused:
+        return hop_end::connect_refused;
+    case connect_status::timed_out:
+        return hop_end::connect_timed_out;
+    default:
+        return hop_end::not_sent;
+    }
+}
+
+admission_settings settings_of(const target_record& target, const routing_snapshot_ptr& snapshot)
+{
+    admission_settings settings;
+    settings.slots = std::max(target.slots, 1U);
+    settings.state = target.state;
+    if (!snapshot) {
+        return settings;
+    }
+    for (const auto& service : snapshot->services) {
+        if (service.config.name == target.service) {
+            settings.queue_limit = service.config.queue_limit;
+            settings.slow_start = service.config.slow_start;
+        }
+    }
+    return settings;
+}
+
+unsigned status_of(hop_end end)
+{
+    constexpr unsigned bad_gateway = 502;
+    constexpr unsigned gateway_timeout = 504;
+    switch (end) {
+    case hop_end::timed_out:
+        return gateway_timeout;
+    case hop_end::connect_refused:
+    case hop_end::connect_timed_out:
+    case hop_end::connection_lost:
+    case hop_end::malformed_answer:
+        return bad_gateway;
+    default:
+        return unavailable;
+    }
+}
+
+refusal refusal_of_gate(const gate_answer& answer)
+{
+    const auto reason =
+        answer.reason == rejection::none ? std::string{"cancelled"} : std::string{to_name(answer.reason)};
+    return {unavailable, verdict::not_run, answer.retry_after, "Not admitted: " + reason + '.', {}};
+}
+
+} // namespace
+
+random_engine& thread_random()
+{
+    thread_local random_engine rng{std::random_device{}()};
+    return rng;
+}
+
+refusal refusal_of_body(read_status status, verdict effect)
+{
+    switch (status) {
+    case read_status::body_too_large:
+        return {413, effect, {}, "The request body is larger than the limit.", {}};
+    case read_status::timed_out:
+        return {408, effect, retry_after_failure, "The request body did not arrive in time.", {}};
+    default:
+        return {400, effect, {}, "The request body is incomplete or malformed.", {}};
+    }
+}
+
+refusal refusal_of(const hop_observation& observation, const std::optional<read_status>& body_error)
+{
+    const auto effect = verdict_of(observation);
+    if (body_error) {
+        return refusal_of_body(*body_error, effect);
+    }
+    const auto* const place = observation.peer == hop_peer::target ? "target: " : "node: ";
+    return {status_of(observation.end),
+            effect,
+            retry_after_failure,
+            place + std::string{to_name(observation.end)} + '.',
+            {}};
+}
+
+target_slot::target_slot(target_host& owner, std::shared_ptr<target_gate> held, request_id id_at_gate,
+                         std::uint64_t fingerprint_of_request) noexcept
+    : host{&owner}, gate{std::move(held)}, id{id_at_gate}, fingerprint{fingerprint_of_request}
+{
+}
+
+target_slot::~target_slot()
+{
+    if (this->gate) {
+        this->end({hop_peer::target, hop_end::cancelled, 0, {}, {}});
+    }
+}
+
+void target_slot::end(const hop_observation& observation)
+{
+    const auto held = std::exchange(this->gate, nullptr);
+    if (!held) {
+        return;
+    }
+    this->host->on_observed(*held, this->fingerprint, observation);
+    held->leave(this->id, outcome_of(observation));
+}
+
+target_host::target_host(std::string name, const connection_limits& limits,
+                         std::function<void(const crash_advisory&)> on_advisory_of_crash)
+    : node{std::move(name)}, pool{connection_pool::create(limits, answer_buffer_bytes)},
+      on_advisory{std::move(on_advisory_of_crash)}
+{
+}
+
+void target_host::update(const std::vector<target_record>& targets, const routing_snapshot_ptr& snapshot)
+{
+    const std::unique_lock lock{this->gates_mutex};
+    auto previous = std::exchange(this->gates, {});
+    for (const auto& target : targets) {
+        const auto settings = settings_of(target, snapshot);
+        auto& entry = this->gates[target.id];
+        entry.announced = target;
+        if (auto known = previous.extract(target.id)) {
+            auto& gate = known.mapped().gate;
+            // A target that announces itself again after a drain, or elsewhere, is a new process.
+            const auto is_same = gate->target().address == target.address &&
+                                 (target.state == target_state::draining || !gate->is_draining());
+            if (is_same) {
+                gate->announce(settings);
+                entry.gate = gate;
+                continue;
+            }
+            gate->drain();
+        }
+        entry.gate = std::make_shared<target_gate>(target, settings);
+    }
+    for (const auto& [id, entry] : previous) {
+        entry.gate->drain();
+    }
+}
+
+void target_host::refresh(const routing_snapshot_ptr& snapshot)
+{
+    if (!snapshot || this->seen_version.exchange(snapshot->version) == snapshot->version) {
+        return;
+    }
+    const std::shared_lock lock{this->gates_mutex};
+    for (const auto& [id, entry] : this->gates) {
+        entry.gate->announce(settings_of(entry.announced, snapshot));
+    }
+}
+
+void target_host::drain()
+{
+    const std::shared_lock lock{this->gates_mutex};
+    for (const auto& [id, entry] : this->gates) {
+        entry.gate->drain();
+    }
+}
+
+std::shared_ptr<target_gate> target_host::find(const std::string& target) const
+{
+    const std::shared_lock lock{this->gates_mutex};
+    const auto found = this->gates.find(target);
+    return found == this->gates.end() ? nullptr : found->second.gate;
+}
+
+std::string target_host::key_of(const target_gate& gate) const
+{
+    return this->node + '/' + gate.target().id;
+}
+
+bool target_host::pass_quarantine(const call& request, const target_gate& gate, attempt& result)
+{
+    const std::lock_guard lock{this->quarantine_mutex};
+    const auto now = steady_now();
+    if (now - this->last_expiry >= expiry_interval) {
+        this->quarantine.expire(now);
+        this->last_expiry = now;
+    }
+    const auto decision = this->quarantine.check(request.fingerprint, this->key_of(gate), now);
+    if (decision.action == quarantine_action::run || decision.action == quarantine_action::run_alone) {
+        return true;
+    }
+    result.refused = refusal{unavailable,
+                             verdict::not_run,
+                             decision.retry_after,
+                             "Requests like this one crashed targets; it was not run.",
+                             {}};
+    return false;
+}
+
+bool target_host::pass_gate(const std::shared_ptr<target_gate>& gate, const call& request, attempt& result)
+{
+    const auto id = this->next_id.fetch_add(1);
+    const auto answer = gate->enter({id, request.deadline, request.fingerprint}, request.client.io());
+    if (answer.outcome == gate_outcome::admitted) {
+        result.slot.emplace(*this, gate, id, request.fingerprint);
+        return true;
+    }
+    if (answer.outcome == gate_outcome::dropped) {
+        result.observation.end = hop_end::queue_timed_out;
+    }
+    else if (answer.outcome == gate_outcome::cancelled) {
+        result.observation.end = hop_end::cancelled;
+    }
+    result.refused = refusal_of_gate(answer);
+    append_field(result.refused->fields, load_header, format_load(gate->load()));
+    this->release(*gate, request.fingerprint);
+    return false;
+}
+
+void target_host::start(const std::string& target, const call& request, attempt& result)
+{
+    result.observation = {hop_peer::target, hop_end::not_sent, 0, {}, {}};
+    const auto gate = this->find(target);
+    if (!gate) {
+        result.refused = refusal{
+            unavailable, verdict::not_run, retry_after_failure, "The target is not on this host.", {}};
+        return;
+    }
+    if (!this->pass_quarantine(request, *gate, result) || !this->pass_gate(gate, request, result)) {
+        return;
+    }
+    auto taken = this->pool->acquire(gate->target().address, request.deadline);
+    if (taken.status != connect_status::connected) {
+        result.observation.end = end_of(taken.status);
+        result.refused = refusal_of(result.observation, std::nullopt);
+        return;
+    }
+    std::string fields;
+    append_field(fields, deadline_header, deadline_text(request.deadline));
+    result.sent.emplace(std::move(taken.connection), hop_peer::target, request);
+    const auto has_answer = result.sent->exchange_heads(fields, false);
+    result.observation = result.sent->observed();
+    if (!has_answer) {
+        result.refused = refusal_of(result.observation, result.sent->body_error());
+    }
+}
+
+void target_host::on_observed(const target_gate& gate, std::uint64_t fingerprint,
+                              const hop_observation& observation)
+{
+    if (suggests_crash(observation)) {
+        const auto in_flight = gate.fingerprints();
+        this->pool->discard_idle(gate.target().address);
+        {
+            const std::lock_guard lock{this->quarantine_mutex};
+            this->quarantine.on_target_died(in_flight, this->key_of(gate), steady_now());
+        }
+        part_logger{log_part::proxy}.write(log_level::warn, "target " + gate.target().id +
+                                                                " broke a connection with a request on it");
+        this->publish(in_flight);
+        return;
+    }
+    if (observation.end != hop_end::answered) {
+        this->release(gate, fingerprint);
+        return;
+    }
+    const std::lock_guard lock{this->quarantine_mutex};
+    this->quarantine.on_success(fingerprint, this->key_of(gate), steady_now());
+}
+
+void target_host::release(const target_gate& gate, std::uint64_t fingerprint)
+{
+    const std::lock_guard lock{this->quarantine_mutex};
+    this->quarantine.on_ended(fingerprint, this->key_of(gate));
+}
+
+void target_host::publish(const std::vector<std::uint64_t>& fingerprints)
+{
+    if (!this->on_advisory) {
+        return;
+    }
+    for (const auto& advisory : this->advisories()) {
+        if (std::find(fingerprints.begin(), fingerprints.end(), advisory.fingerprint) != fingerprints.end()) {
+            this->on_advisory(advisory);
+        }
+    }
+}
+
+void target_host::offer_advisory(const crash_advisory& advisory)
+{
+    const std::lock_guard lock{this->quarantine_mutex};
+    this->quarantine.on_remote(advisory, steady_now());
+}
+
+std::vector<crash_advisory> target_host::advisories() const
+{
+    const std::lock_guard lock{this->quarantine_mutex};
+    return this->quarantine.advisories(steady_now());
+}
+
+} // namespace kumquatdrift::internal
