--- a/src/config/decode.cpp
+++ b/src/config/decode.cpp
@@ -7,6 +7,7 @@
 #include <kumquatdrift/core/digest.hpp>
 
 #include "names.hpp"
+#include "overlay_check.hpp"
 #include "reading.hpp"
 #include "validation.hpp"
 
@@ -169,7 +170,7 @@
 
 record_envelope open_record(std::string_view payload)
 {
-    const auto object = parse_object(payload);
+    const auto object = parse_object(payload, repeated_members::last_one_counts);
     if (!object) {
         return {record_kind::invalid, {}, object.last_reason()};
     }
@@ -232,27 +233,42 @@
     return state;
 }
 
-std::string check_documents(const std::map<std::string, document_state>& documents)
+std::string check_overlay(const json_document& base, const std::string& name, const json_document& overlay)
+{
+    const auto& base_object = base.tree().object;
+    const auto& overlay_object = overlay.tree().object;
+    if (is_valid_merge(base_object, overlay_object)) {
+        return {};
+    }
+    const auto config = read_config(apply_patch(base_object, overlay_object), reading_mode::complete);
+    return "base merged with " + name + ": " + config.last_reason();
+}
+
+std::string check_document_set(const std::map<std::string, document_state>& documents)
 {
-    const auto base = documents.find(std::string{base_document});
-    if (base == documents.end()) {
-        return documents.empty() ? "" : "there is no base document yet; publish the base first";
+    if (!documents.empty() && !documents.contains(std::string{base_document})) {
+        return "there is no base document yet; publish the base first";
     }
-    if (documents.size() > max_overlays + 1) {
-        return "there are too many overlays; accepted are up to " + std::to_string(max_overlays);
+    return documents.size() > max_overlays + 1
+               ? "there are too many overlays; accepted are up to " + std::to_string(max_overlays)
+               : std::string{};
+}
+
+std::string check_documents(const std::map<std::string, document_state>& documents)
+{
+    auto error = check_document_set(documents);
+    if (!error.empty() || documents.empty()) {
+        return error;
     }
-    const auto alone = validate_config(base->second.content);
+    const auto& base = documents.at(std::string{base_document}).content;
+    const auto alone = validate_config(base);
     if (!alone) {
         return "base: " + alone.last_reason();
     }
     for (const auto& [name, overlay] : documents) {
-        if (name == base_document) {
-            continue;
-        }
-        const auto merged = apply_patch(base->second.content.tree().object, overlay.content.tree().object);
-        const auto config = read_config(merged, reading_mode::complete);
-        if (!config) {
-            return "base merged with " + name + ": " + config.last_reason();
+        error = name == base_document ? std::string{} : check_overlay(base, name, overlay.content);
+        if (!error.empty()) {
+            return error;
         }
     }
     return {};
--- a/src/config/decode.hpp
+++ b/src/config/decode.hpp
@@ -54,6 +54,23 @@
  */
 [[nodiscard]] result<config_state> decode_checkpoint(const object_ptr& record);
 
+/**
+ * @brief Checks that the merge of the base with an overlay is valid.
+ * @param base A base that is valid alone.
+ * @param name Document name of the overlay.
+ * @param overlay An overlay that has passed `validate_overlay`.
+ * @return An empty text, or the document and JSON place of the first error.
+ */
+[[nodiscard]] std::string check_overlay(const json_document& base, const std::string& name,
+                                        const json_document& overlay);
+
+/**
+ * @brief Checks that there is a base and not too many overlays.
+ * @param documents All documents.
+ * @return An empty text, or what is wrong.
+ */
+[[nodiscard]] std::string check_document_set(const std::map<std::string, document_state>& documents);
+
 /**
  * @brief Checks that the base alone and the merge with every overlay are valid.
  * @param documents All documents. Overlays have passed `validate_overlay`.
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -52,8 +52,7 @@
 
 json_document::json_document()
     : shared{[] {
-          static const auto empty =
-              std::make_shared<const json_tree>(json_tree{object_ptr{new Poco::JSON::Object}, "{}"});
+          static const auto empty = std::make_shared<const json_tree>(object_ptr{new Poco::JSON::Object});
           return empty;
       }()}
 {
@@ -63,7 +62,7 @@
 
 result<json_document> json_document::parse(std::string_view text)
 {
-    auto object = parse_object(text);
+    auto object = parse_object(text, repeated_members::error);
     if (!object) {
         return failure{object.last_reason()};
     }
@@ -72,7 +71,7 @@
 
 const std::string& json_document::text() const noexcept
 {
-    return this->shared->text;
+    return this->shared->text();
 }
 
 std::string json_document::pretty() const
--- a/src/config/fold.cpp
+++ b/src/config/fold.cpp
@@ -59,6 +59,15 @@
     return merge_patch(current->content, *edit.patch);
 }
 
+/*! @brief Checks the documents after a change of one overlay. The base and the other overlays are valid. */
+std::string check_changed_overlay(const std::map<std::string, document_state>& documents,
+                                  const std::string& name)
+{
+    auto error = check_document_set(documents);
+    const auto base = documents.find(std::string{base_document});
+    return error.empty() ? check_overlay(base->second.content, name, documents.at(name).content) : error;
+}
+
 /*! @brief Checks the edit in the context of all documents and puts it in force if it is valid. */
 std::string apply_edit(config_state& state, const edit_record& edit, log_offset offset)
 {
@@ -74,7 +83,8 @@
     }
     auto documents = state.documents;
     documents[edit.document] = {*content, offset, edit.edit_id, edit.author};
-    auto error = check_documents(documents);
+    auto error = edit.document == base_document ? check_documents(documents)
+                                                : check_changed_overlay(documents, edit.document);
     if (error.empty()) {
         state.documents = std::move(documents);
         state.version = offset + 1;
--- a/src/config/json.cpp
+++ b/src/config/json.cpp
@@ -50,10 +50,13 @@
 
 } // namespace
 
-result<object_ptr> parse_object(std::string_view text)
+result<object_ptr> parse_object(std::string_view text, repeated_members repeated)
 {
     try {
-        Poco::JSON::Parser parser{new unique_member_handler};
+        Poco::JSON::Parser parser;
+        if (repeated == repeated_members::error) {
+            parser.setHandler(new unique_member_handler);
+        }
         const auto value = parser.parse(std::string{text});
         if (const auto* const object = as_object(value)) {
             return *object;
@@ -66,6 +69,12 @@
     }
 }
 
+const std::string& json_tree::text() const
+{
+    std::call_once(this->made, [this] { this->canonical = to_text(this->object); });
+    return this->canonical;
+}
+
 std::string to_text(const json_value& value)
 {
     std::ostringstream text;
@@ -75,8 +84,7 @@
 
 json_document to_document(object_ptr object)
 {
-    auto text = to_text(object);
-    return json_document{std::make_shared<json_tree>(json_tree{std::move(object), std::move(text)})};
+    return json_document{std::make_shared<const json_tree>(std::move(object))};
 }
 
 const object_ptr* as_object(const json_value& value) noexcept
--- a/src/config/json.hpp
+++ b/src/config/json.hpp
@@ -1,9 +1,12 @@
 #ifndef KUMQUATDRIFT_SRC_CONFIG_JSON_HPP
 #define KUMQUATDRIFT_SRC_CONFIG_JSON_HPP
 
+#include <cstdint>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include <Poco/Dynamic/Var.h>
 #include <Poco/JSON/Array.h>
@@ -25,18 +28,38 @@
 
 /*! @brief A parsed document. Trees share members; none is modified after its construction. */
 struct json_tree {
+    /**
+     * @brief Takes over an object that nothing modifies any more.
+     * @param parsed The object.
+     */
+    explicit json_tree(object_ptr parsed) : object{std::move(parsed)} {}
+
     /*! @brief Parsed form. Not null. */
-    object_ptr object{};
-    /*! @brief Canonical text. */
-    std::string text{};
+    object_ptr object;
+
+    /*! @brief Returns the canonical text, which is made when it is first needed. */
+    [[nodiscard]] const std::string& text() const;
+
+private:
+    mutable std::once_flag made{};
+    mutable std::string canonical{};
+};
+
+/*! @brief What to do with an object that names a member twice. */
+enum class repeated_members : std::uint8_t {
+    /*! @brief The last one counts. */
+    last_one_counts,
+    /*! @brief It is an error. For documents that people write. */
+    error,
 };
 
 /**
  * @brief Parses the text of a JSON object.
  * @param text UTF-8 text.
+ * @param repeated What to do with an object that names a member twice.
  * @return The object, or what is wrong with the text.
  */
-[[nodiscard]] result<object_ptr> parse_object(std::string_view text);
+[[nodiscard]] result<object_ptr> parse_object(std::string_view text, repeated_members repeated);
 
 /**
  * @brief Formats a value in canonical form.
--- a/src/config/validation.hpp
+++ b/src/config/validation.hpp
@@ -1,7 +1,7 @@
 #ifndef KUMQUATDRIFT_SRC_CONFIG_VALIDATION_HPP
 #define KUMQUATDRIFT_SRC_CONFIG_VALIDATION_HPP
 
-#include <optional>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -16,6 +16,8 @@
 enum class reading_mode : std::uint8_t {
     /*! @brief Required members must be present, null is an error, references are checked. */
     complete,
+    /*! @brief As `complete`, but references are not checked. */
+    members,
     /*! @brief An overlay: members may be absent or null, references are not checked. */
     overlay,
 };
--- a/tests/config/document.cpp
+++ b/tests/config/document.cpp
@@ -8,6 +8,7 @@
 
 #include <kumquatdrift/config/state.hpp>
 
+#include "config/overlay_check.hpp"
 #include "support.hpp"
 
 namespace kumquatdrift {
@@ -182,6 +183,53 @@
     RC_ASSERT((patch->text() == "{}") == (from == to));
 }
 
+/*! @brief Generates a document over a few services and routes; an overlay may have null and lack members. */
+rc::Gen<std::string> any_config(bool overlay)
+{
+    const auto section = [overlay](const std::string& name, const std::string& first,
+                                   const std::string& second) {
+        const auto member = [overlay](const std::string& key, const std::vector<std::string>& values) {
+            auto choices = values;
+            choices.emplace_back();
+            if (overlay) {
+                choices.emplace_back("null");
+            }
+            return rc::gen::map(rc::gen::elementOf(choices), [key](const std::string& value) {
+                return value.empty() ? value : "\"" + key + "\":" + value;
+            });
+        };
+        const auto values = name == "services" ? std::vector<std::string>{"{}", R"({"queue_limit":1})"}
+                            : overlay
+                                ? std::vector<std::string>{R"({"service":"a"})", R"({"service":"b"})",
+                                                           R"({"service":null})", R"({"host":"h"})", "{}"}
+                                : std::vector<std::string>{R"({"service":"a"})", R"({"service":"b"})"};
+        return rc::gen::map(
+            rc::gen::pair(member(first, values), member(second, values)), [name](const auto& members) {
+                const auto* const separator = members.first.empty() || members.second.empty() ? "" : ",";
+                return "\"" + name + "\":{" + members.first + separator + members.second + "}";
+            });
+    };
+    const auto whole = [overlay](rc::Gen<std::string> part, const std::string& null) {
+        return overlay ? rc::gen::weightedOneOf<std::string>({{8, part}, {1, rc::gen::just(null)}}) : part;
+    };
+    return rc::gen::map(
+        rc::gen::pair(whole(section("services", "a", "b"), "\"services\":null"),
+                      whole(section("routes", "r", "s"), "\"routes\":null")),
+        [](const auto& sections) { return "{" + sections.first + "," + sections.second + "}"; });
+}
+
+// Guards against the check of only what an overlay names deciding otherwise than a complete validation.
+RC_GTEST_FIXTURE_PROP(config_document, overlay_check_agrees_with_a_complete_validation_of_the_merge, ())
+{
+    const auto base = parse(*any_config(false));
+    const auto overlay = parse(*any_config(true));
+    RC_PRE(validate_config(base).has_value());
+    RC_ASSERT(validate_overlay(overlay).has_value());
+    const auto agreed = internal::is_valid_merge(base.tree().object, overlay.tree().object);
+    RC_ASSERT(agreed == validate_config(merge_patch(base, overlay)).has_value());
+    RC_CLASSIFY(agreed);
+}
+
 // Guards against a patch for content that no patch can produce.
 TEST_F(config_document, patch_to_a_null_member_is_an_error)
 {
