--- a/tests/config/recovery.cpp
+++ b/tests/config/recovery.cpp
@@ -79,6 +79,8 @@
     EXPECT_EQ(recover(this->retained(1))->checkpoint, 2U);
     EXPECT_EQ(recover(this->retained(1), recovery_start::earliest)->checkpoint, 3U);
     EXPECT_EQ(recover(this->retained(), recovery_start::earliest)->checkpoint, std::nullopt);
+    this->add(make_checkpoint_record(this->state));
+    EXPECT_EQ(recover(this->retained(1))->checkpoint, 4U);
     for (const auto earliest : {0U, 1U, 2U}) {
         EXPECT_EQ(recover(this->retained(earliest))->state, this->state) << earliest;
     }
