--- a/include/kumquatdrift/distribution/sources.hpp
+++ b/include/kumquatdrift/distribution/sources.hpp
@@ -71,8 +71,8 @@
     milliseconds heartbeat_interval{2'000};
     /*! @brief Time between reads of the log in mode `log_poll`, and in the fallback to the log. */
     milliseconds poll_interval{2'000};
-    /*! @brief Longest wait of one long poll of a relay. */
-    milliseconds long_poll{20'000};
+    /*! @brief Longest wait of one long poll of a relay. The process cannot shut down during a poll. */
+    milliseconds long_poll{2'000};
     /*! @brief Time without a current answer after which a source counts as silent. */
     milliseconds silence_limit{6'500};
     /*! @brief Upper bound of the random delay before the log replaces silent parents. Reads of a thousand
@@ -81,9 +81,9 @@
     /*! @brief Reads of the log a second in the fallback. */
     double fallback_reads_per_second{0.5};
     /*! @brief Upper bound of the random delay before the first read after a start. */
-    milliseconds start_jitter{500};
-    /*! @brief Time that a starting node waits for the log before it asks its peers. */
-    milliseconds start_log_limit{3'000};
+    milliseconds start_jitter{1'000};
+    /*! @brief Time that a starting node waits for the log or a current parent before it asks its peers. */
+    milliseconds start_log_limit{4'000};
     /*! @brief Time that a starting node waits for the snapshots of its peers. */
     milliseconds start_peer_limit{2'000};
     /*! @brief Delay before a parent is tried again. */
@@ -102,10 +102,10 @@
 
 /*! @brief What is known of one watched node. */
 struct watch_state {
-    /*! @brief True while a stream is open. */
+    /*! @brief True while the plan contains the node. */
     bool open{};
-    /*! @brief Time of the last event. */
-    std::optional<timestamp> heard{};
+    /*! @brief Time of the last event, or at which the stream was opened. */
+    timestamp heard{};
     /*! @brief Time at which the watched node was last known to be current. */
     std::optional<timestamp> current{};
     /*! @brief Failures since the last event. */
@@ -116,7 +116,7 @@
 
 /*! @brief Phase of a node after its start. */
 enum class start_phase : std::uint8_t {
-    /*! @brief Reads the log. */
+    /*! @brief Reads the log, or watches parents that are current. */
     log,
     /*! @brief Asks its peers for their snapshots. */
     peers,
@@ -144,6 +144,8 @@
     timestamp log_at{};
     /*! @brief Time from which the fallback may read the log; empty while a parent is current. */
     std::optional<timestamp> fallback_at{};
+    /*! @brief Parent named by the last redirect; tried first. */
+    std::string preferred{};
     /*! @brief Limiter of the fallback. */
     token_bucket fallback_reads{0.5, 1.0};
 };
@@ -160,6 +162,9 @@
     bool ask_peers{};
     /*! @brief Source in use. */
     config_source source{config_source::none};
+    /*! @brief True once the start is over: what this node knows is current, or nobody answers who knows more.
+     */
+    bool started{};
 };
 
 /**
@@ -187,7 +192,8 @@
  * @brief Reports an event of a watched node.
  * @param state State.
  * @param node Name of the watched node.
- * @param age Time since the watched node was known to be current; empty if the event does not say.
+ * @param age Time since the watched node was known to be current; empty if the event does not say so, or if
+ * this node has not yet got everything that the watched node has.
  * @param now Current time.
  */
 void on_watch_event(source_state& state, const std::string& node, std::optional<milliseconds> age,
@@ -198,11 +204,12 @@
  * @param state State.
  * @param node Name of the watched node.
  * @param retry_after Time given by a redirect, zero if there was none.
+ * @param other Parent named by a redirect, empty if there was none.
  * @param now Current time.
  * @param rng Random engine.
  */
-void on_watch_end(source_state& state, const std::string& node, milliseconds retry_after, timestamp now,
-                  random_engine& rng);
+void on_watch_end(source_state& state, const std::string& node, milliseconds retry_after,
+                  const std::string& other, timestamp now, random_engine& rng);
 
 /**
  * @brief Reports the end of a read of the log.
