--- a/include/kumquatdrift/distribution/service.hpp
+++ b/include/kumquatdrift/distribution/service.hpp
@@ -115,7 +115,7 @@
     [[nodiscard]] static result<std::unique_ptr<distribution_service>>
     create(environment environment, const distribution_settings& settings = {});
 
-    /*! @brief Ends all streams and stops the threads. */
+    /*! @brief Stops the threads. Takes up to one long poll. The gRPC server must have been shut down. */
     ~distribution_service();
 
     distribution_service(const distribution_service&) = delete;
