--- a/src/distribution/replica.cpp
+++ b/src/distribution/replica.cpp
@@ -121,7 +121,8 @@
         return;
     }
     replica.ahead.emplace(record.offset, record.payload);
-    if (replica.ahead.size() > replica.settings.max_ahead) {
+    // The record that is due next is folded at once and takes no place from those ahead.
+    if (record.offset != replica.state.next_offset && replica.ahead.size() > replica.settings.max_ahead) {
         ++change.rejected;
         replica.ahead.erase(std::prev(replica.ahead.end()));
     }
--- a/src/distribution/sources.cpp
+++ b/src/distribution/sources.cpp
@@ -33,7 +33,8 @@
 {
     for (auto& [name, watch] : state.watches) {
         if (watch.open && now - watch.heard > state.settings.silence_limit) {
-            back_off(watch, milliseconds{0}, now, state, rng);
+            // A paused or unreachable node takes a whole silence limit to detect again, so others go first.
+            back_off(watch, 2 * state.settings.silence_limit, now, state, rng);
         }
     }
 }
