--- /dev/null
+++ b/tests/replay/traffic_replayer.cpp
@@ -0,0 +1,465 @@
+#include "replay/traffic_replayer.hpp"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+#include <kumquatdrift/core/digest.hpp>
+#include <kumquatdrift/routing/match.hpp>
+
+#include "support/mesh_builders.hpp"
+
+namespace kumquatdrift {
+namespace {
+
+constexpr std::uint32_t default_slots = 2;
+
+// Reads a time of the form `120ms`.
+std::optional<milliseconds> read_time(std::istream& words)
+{
+    milliseconds::rep count{};
+    std::string unit;
+    if (!(words >> count >> unit) || unit != "ms") {
+        return std::nullopt;
+    }
+    return milliseconds{count};
+}
+
+std::optional<std::string> compare(const std::string& expected, const std::string& actual)
+{
+    return expected == actual ? std::nullopt
+                              : std::optional{"expected '" + expected + "', got '" + actual + "'"};
+}
+
+std::string rest_of(std::istringstream& words)
+{
+    std::string text;
+    for (std::string word; words >> word;) {
+        text += text.empty() ? word : ' ' + word;
+    }
+    return text;
+}
+
+} // namespace
+
+traffic_replayer::traffic_replayer()
+{
+    this->view.self = "entry";
+}
+
+traffic_replayer::failure_text traffic_replayer::run(const std::string& line)
+{
+    std::istringstream words{line};
+    std::string first;
+    if (!(words >> first) || first.starts_with('#')) {
+        return std::nullopt;
+    }
+    if (first == "expect") {
+        return this->expect(words);
+    }
+    const auto time = read_time(words);
+    std::string action;
+    if (first != "at" || !time || !(words >> action)) {
+        return "malformed line";
+    }
+    if (action == "resumes") {
+        this->now = timestamp{*time};
+        return std::nullopt;
+    }
+    this->advance_to(timestamp{*time});
+    return this->act(action, words);
+}
+
+traffic_replayer::failure_text traffic_replayer::act(const std::string& action, std::istringstream& words)
+{
+    if (action == "config") {
+        return this->offer_config(words);
+    }
+    if (action == "view") {
+        return this->offer_view(words);
+    }
+    if (action == "call") {
+        return this->start_call(words);
+    }
+    if (action == "gossip") {
+        this->gossip();
+        return std::nullopt;
+    }
+    if (action == "entry_restarts") {
+        this->loads = {};
+        this->suspects = crash_quarantine{};
+        this->budget = {};
+        return std::nullopt;
+    }
+    std::string name;
+    words >> name;
+    if (action == "late_view") {
+        this->holder.offer_view(this->views.at(std::stoul(name)), this->now);
+        return std::nullopt;
+    }
+    if (const auto found = this->calls.find(name); found != this->calls.end()) {
+        return this->act_on_call(action, found->second);
+    }
+    return this->act_on_target(action, name, words);
+}
+
+traffic_replayer::failure_text traffic_replayer::act_on_call(const std::string& action, call& subject)
+{
+    if (action == "lose_answer") {
+        subject.answer_lost = true;
+        return std::nullopt;
+    }
+    if (action == "finish" && subject.state == call_state::running) {
+        this->end_run(subject, {hop_peer::target, hop_end::answered, 100, 200, {}});
+        return std::nullopt;
+    }
+    if (action == "cancel" && subject.state != call_state::ended) {
+        this->give_up(subject);
+        return std::nullopt;
+    }
+    return "action does not fit the call, which is " + this->describe(subject);
+}
+
+traffic_replayer::failure_text
+traffic_replayer::act_on_target(const std::string& action, const std::string& name, std::istringstream& words)
+{
+    const auto found = this->targets.find(name);
+    if (found == this->targets.end()) {
+        return "unknown call or target '" + name + "'";
+    }
+    auto& node = found->second;
+    if (action == "target_dies") {
+        node.is_dead = true;
+        node.suspects.on_target_died(node.control.fingerprints_in_flight(), name + "/t", this->now);
+        for (auto& [other, subject] : this->calls) {
+            if (subject.state == call_state::running && subject.target == name) {
+                this->end_run(subject, {hop_peer::target, hop_end::connection_lost, 100, {}, {}});
+            }
+        }
+        return std::nullopt;
+    }
+    if (action == "drains") {
+        this->refuse(node.control.drain());
+        return std::nullopt;
+    }
+    if (action == "slots") {
+        std::uint32_t slots{};
+        words >> slots;
+        for (const auto id : node.control.announce({.slots = slots}, this->now)) {
+            this->start(id);
+        }
+        return std::nullopt;
+    }
+    node.is_dead = node.is_dead && action != "target_restarts";
+    node.refuses = action == "node_refuses" || (node.refuses && action != "node_accepts");
+    const std::set<std::string> known{"target_restarts", "node_refuses", "node_accepts"};
+    return known.contains(action) ? std::nullopt : failure_text{"unknown action '" + action + "'"};
+}
+
+traffic_replayer::failure_text traffic_replayer::expect(std::istringstream& words)
+{
+    std::string what;
+    std::string name;
+    words >> what;
+    const auto snapshot = this->holder.current();
+    if (what == "version") {
+        return compare(rest_of(words), std::to_string(snapshot ? snapshot->version : 0));
+    }
+    words >> name;
+    if (what == "call" && this->calls.contains(name)) {
+        return compare(rest_of(words), this->describe(this->calls.at(name)));
+    }
+    if (what == "runs" && this->calls.contains(name)) {
+        return compare(rest_of(words), std::to_string(this->calls.at(name).runs));
+    }
+    if (what == "load" && this->targets.contains(name)) {
+        return compare(rest_of(words), format_load(this->targets.at(name).control.load(this->now)));
+    }
+    if (what == "endpoints" && snapshot) {
+        std::string listed;
+        for (const auto& service : snapshot->services) {
+            for (const auto& candidate : service.endpoints) {
+                listed += service.config.name == name ? (listed.empty() ? "" : " ") + candidate.node : "";
+            }
+        }
+        return compare(rest_of(words), listed);
+    }
+    return "malformed expectation";
+}
+
+traffic_replayer::failure_text traffic_replayer::offer_config(std::istringstream& words)
+{
+    config_version version{};
+    words >> version;
+    std::vector<std::string> services;
+    bool is_broken = false;
+    for (std::string word; words >> word;) {
+        is_broken = is_broken || word == "broken";
+        if (word != "broken") {
+            services.push_back(word);
+        }
+    }
+    auto config = std::make_shared<effective_config>(make_config(version, services));
+    if (is_broken) {
+        config->routes["broken"].service = "absent";
+    }
+    this->holder.offer_config(std::move(config), this->now);
+    return std::nullopt;
+}
+
+traffic_replayer::failure_text traffic_replayer::offer_view(std::istringstream& words)
+{
+    this->view.members.clear();
+    ++this->view.generation;
+    for (std::string word; words >> word;) {
+        if (word == "synchronised") {
+            ++this->view.synchronisations;
+            continue;
+        }
+        std::istringstream parts{word};
+        std::string name;
+        std::string service;
+        std::string flag;
+        std::getline(parts, name, '/');
+        std::getline(parts, service, '/');
+        std::getline(parts, flag, '/');
+        auto& entry = add_node(this->view, name, flag == "far" ? "belem" : "alfama", service, default_slots);
+        entry.status = from_name<member_status>(flag).value_or(member_status::alive);
+        entry.record.targets[0].state = from_name<target_state>(flag).value_or(target_state::ready);
+        const admission_settings settings{.slots = default_slots, .queue_limit = 2};
+        this->targets.try_emplace(name, target_node{.control = admission{settings, this->now}});
+    }
+    this->views.push_back(std::make_shared<member_view>(this->view));
+    this->holder.offer_view(this->views.back(), this->now);
+    return std::nullopt;
+}
+
+traffic_replayer::failure_text traffic_replayer::start_call(std::istringstream& words)
+{
+    std::string name;
+    call started{};
+    words >> name >> started.path;
+    started.id = this->calls.size() + 1;
+    started.fingerprint = digest(name);
+    started.deadline = this->now + milliseconds{1'000};
+    for (std::string word; words >> word;) {
+        std::string like;
+        if (word == "to") {
+            words >> started.first_target;
+        }
+        else if (word == "idempotent") {
+            started.route.idempotent = true;
+        }
+        else if (word == "like" && words >> like) {
+            started.fingerprint = digest(like);
+        }
+        else if (const auto time = word == "deadline" ? read_time(words) : std::nullopt) {
+            started.deadline = this->now + *time;
+        }
+        else {
+            return "unknown word '" + word + "'";
+        }
+    }
+    const auto [position, is_new] = this->calls.emplace(name, std::move(started));
+    if (!is_new) {
+        return "call exists already";
+    }
+    this->budget.on_call(position->second.route.retry.budget_percent);
+    this->start_attempt(position->second);
+    return std::nullopt;
+}
+
+void traffic_replayer::advance_to(timestamp until)
+{
+    constexpr milliseconds step{1};
+    for (; this->now < until; this->now = std::min(until, this->now + step)) {
+        this->holder.tick(this->now);
+        for (auto& [name, node] : this->targets) {
+            this->refuse(node.control.expire(this->now));
+        }
+        for (auto& [name, subject] : this->calls) {
+            if (subject.state != call_state::ended && this->now >= subject.deadline) {
+                this->give_up(subject);
+            }
+            if (subject.state == call_state::retrying && this->now >= subject.retry_at) {
+                this->start_attempt(subject);
+            }
+        }
+    }
+    this->holder.tick(this->now);
+}
+
+void traffic_replayer::start_attempt(call& subject)
+{
+    const auto snapshot = this->holder.current();
+    const auto matched = snapshot ? match_route(*snapshot, "h", subject.path, "GET") : route_match{};
+    if (!matched.route) {
+        subject.state = call_state::ended;
+        return;
+    }
+    this->loads.retain(*snapshot, this->now);
+    const auto& service = snapshot->services[snapshot->routes[*matched.route].service];
+    auto chosen = choose_endpoint(service, this->loads, subject.used, this->now, this->rng).endpoint;
+    for (std::size_t index = 0; index < service.endpoints.size(); ++index) {
+        if (subject.attempts == 0 && service.endpoints[index].node == subject.first_target) {
+            chosen = index;
+        }
+    }
+    if (!chosen) {
+        subject.state = call_state::ended;
+        return;
+    }
+    this->send(subject, service.endpoints[*chosen]);
+}
+
+void traffic_replayer::send(call& subject, const endpoint& chosen)
+{
+    const auto is_refused = [&](crash_quarantine& quarantine) {
+        const auto action = quarantine.check(subject.fingerprint, chosen.key, this->now).action;
+        return action == quarantine_action::refuse || action == quarantine_action::refuse_busy;
+    };
+    if (is_refused(this->suspects)) {
+        subject.state = call_state::ended;
+        return;
+    }
+    ++subject.attempts;
+    subject.used.push_back(chosen.key);
+    subject.target = chosen.node;
+    this->loads.on_sent(chosen.key, this->now);
+    auto& node = this->targets.at(chosen.node);
+    if (node.refuses) {
+        this->loads.on_node_failed(chosen.node, this->now);
+        this->end_attempt(subject, {hop_peer::node, hop_end::connect_refused, 0, {}, {}});
+        return;
+    }
+    if (is_refused(node.suspects)) {
+        this->end_attempt(subject, {hop_peer::node, hop_end::answered, 100, 503, "not_run"});
+        return;
+    }
+    const auto kind = node.control.offer({subject.id, subject.deadline, subject.fingerprint}, this->now).kind;
+    subject.state = call_state::queued;
+    if (kind == admission_kind::rejected) {
+        this->refuse({subject.id});
+    }
+    if (kind == admission_kind::admitted) {
+        this->start(subject.id);
+    }
+}
+
+void traffic_replayer::start(request_id id)
+{
+    auto& subject = *this->by_id(id);
+    subject.state = call_state::running;
+    if (this->targets.at(subject.target).is_dead) {
+        this->end_run(subject, {hop_peer::target, hop_end::connect_refused, 0, {}, {}});
+        return;
+    }
+    ++subject.runs;
+}
+
+void traffic_replayer::refuse(const std::vector<request_id>& dropped)
+{
+    for (const auto id : dropped) {
+        auto& subject = *this->by_id(id);
+        this->targets.at(subject.target).suspects.on_ended(subject.fingerprint, subject.target + "/t");
+        this->end_attempt(subject, {hop_peer::node, hop_end::answered, 100, 503, "not_run"});
+    }
+}
+
+void traffic_replayer::end_run(call& subject, const hop_observation& seen)
+{
+    auto& node = this->targets.at(subject.target);
+    const auto key = subject.target + "/t";
+    const auto effect = verdict_of(seen);
+    const auto is_answered = effect == verdict::ran;
+    if (is_answered) {
+        node.suspects.on_success(subject.fingerprint, key, this->now);
+    }
+    else {
+        node.suspects.on_ended(subject.fingerprint, key);
+    }
+    const auto outcome = is_answered ? run_outcome::answered : run_outcome::failed;
+    const auto started = node.control.finish(subject.id, outcome, this->now);
+    if (subject.state != call_state::ended && !subject.answer_lost) {
+        const auto status = suggests_crash(seen) ? target_lost_status : std::uint16_t{503};
+        const hop_observation failed{hop_peer::node, hop_end::answered, 100, status, to_name(effect)};
+        const hop_observation passed{hop_peer::node, hop_end::answered, 100, 200, {}};
+        this->end_attempt(subject, is_answered ? passed : failed);
+    }
+    for (const auto id : started) {
+        this->start(id);
+    }
+}
+
+void traffic_replayer::end_attempt(call& subject, const hop_observation& seen)
+{
+    const auto key = subject.target + "/t";
+    const auto effect = verdict_of(seen);
+    this->loads.on_done(key);
+    if (effect == verdict::ran) {
+        this->suspects.on_success(subject.fingerprint, key, this->now);
+    }
+    else if (suggests_crash(seen)) {
+        this->suspects.on_target_died(std::array{subject.fingerprint}, key, this->now);
+    }
+    else {
+        this->suspects.on_ended(subject.fingerprint, key);
+    }
+    subject.effect = combine_verdicts(subject.effect, effect);
+    const failed_attempt failed{subject.attempts, effect, false, true, subject.deadline};
+    const auto decision = effect == verdict::ran
+                              ? retry_decision{}
+                              : decide_retry(subject.route, failed, this->budget, this->now, this->rng);
+    subject.state = decision.delay ? call_state::retrying : call_state::ended;
+    subject.retry_at = this->now + decision.delay.value_or(microseconds{0});
+}
+
+void traffic_replayer::give_up(call& subject)
+{
+    if (subject.state == call_state::queued) {
+        const auto outcome = this->targets.at(subject.target).control.cancel(subject.id);
+        subject.state = outcome == cancel_outcome::removed ? call_state::ended : subject.state;
+    }
+    if (subject.state == call_state::running) {
+        subject.effect = combine_verdicts(subject.effect, verdict::may_have_run);
+    }
+    subject.state = call_state::ended;
+}
+
+void traffic_replayer::gossip()
+{
+    for (auto& [name, node] : this->targets) {
+        for (const auto& advisory : node.suspects.advisories(this->now)) {
+            this->suspects.on_remote(advisory, this->now);
+        }
+    }
+    for (auto& [name, node] : this->targets) {
+        for (const auto& advisory : this->suspects.advisories(this->now)) {
+            node.suspects.on_remote(advisory, this->now);
+        }
+    }
+}
+
+traffic_replayer::call* traffic_replayer::by_id(request_id id)
+{
+    const auto found = std::find_if(this->calls.begin(), this->calls.end(),
+                                    [id](const auto& entry) { return entry.second.id == id; });
+    return found == this->calls.end() ? nullptr : &found->second;
+}
+
+std::string traffic_replayer::describe(const call& subject) const
+{
+    switch (subject.state) {
+    case call_state::retrying:
+        return "retrying";
+    case call_state::queued:
+        return "queued";
+    case call_state::running:
+        return "running " + subject.target;
+    case call_state::ended:
+        return "final " + std::string{to_name(subject.effect)};
+    }
+    return "unknown";
+}
+
+} // namespace kumquatdrift
