--- a/src/routing/match.cpp
+++ b/src/routing/match.cpp
@@ -1,6 +1,7 @@
 #include <kumquatdrift/routing/match.hpp>
 
 #include <algorithm>
+#include <span>
 
 namespace kumquatdrift {
 namespace {
@@ -65,9 +66,34 @@
     return prefix.ends_with('/') || path.size() == prefix.size() || path[prefix.size()] == '/';
 }
 
-bool covers(const route_config& route, std::string_view host, std::string_view path) noexcept
+// Routes of one host; an empty host means any, and its routes come last.
+std::span<const compiled_route> routes_of(const routing_snapshot& snapshot, std::string_view host)
 {
-    return (route.host.empty() || route.host == host) && covers(route.path_prefix, path);
+    const std::span<const compiled_route> all{snapshot.routes};
+    const auto has_host = [](const compiled_route& route) { return !route.config.host.empty(); };
+    const auto first_any = std::partition_point(all.begin(), all.end(), has_host);
+    if (host.empty()) {
+        return {first_any, all.end()};
+    }
+    const auto is_before = [&](const compiled_route& route) { return route.config.host < host; };
+    const auto is_same = [&](const compiled_route& route) { return route.config.host == host; };
+    const auto first = std::partition_point(all.begin(), first_any, is_before);
+    return {first, std::partition_point(first, first_any, is_same)};
+}
+
+// Calls a function with each route that covers host and path, in order, until it returns true.
+template<typename Function>
+void visit_routes(const routing_snapshot& snapshot, std::string_view host, std::string_view path,
+                  Function function)
+{
+    const auto lowered = normalised_host(host);
+    for (const std::string_view candidate : {std::string_view{lowered}, std::string_view{}}) {
+        for (const auto& route : routes_of(snapshot, candidate)) {
+            if (covers(route.config.path_prefix, path) && function(route)) {
+                return;
+            }
+        }
+    }
 }
 
 bool allows(const route_config& route, std::string_view method) noexcept
@@ -90,32 +116,26 @@
     if (!is_well_formed(path)) {
         return {.kind = match_kind::malformed_path, .route = std::nullopt};
     }
-    const auto lowered = normalised_host(host);
     route_match outcome{};
-    for (std::size_t index = 0; index < snapshot.routes.size(); ++index) {
-        const auto& route = snapshot.routes[index].config;
-        if (!covers(route, lowered, path)) {
-            continue;
+    visit_routes(snapshot, host, path, [&](const compiled_route& route) {
+        const auto is_allowed = allows(route.config, method);
+        outcome.kind = is_allowed ? match_kind::matched : match_kind::method_not_allowed;
+        if (is_allowed) {
+            outcome.route = static_cast<std::size_t>(&route - snapshot.routes.data());
         }
-        if (allows(route, method)) {
-            return {.kind = match_kind::matched, .route = index};
-        }
-        outcome.kind = match_kind::method_not_allowed;
-    }
+        return is_allowed;
+    });
     return outcome;
 }
 
 std::vector<std::string> allowed_methods(const routing_snapshot& snapshot, std::string_view host,
                                          std::string_view path)
 {
-    path = without_query(path);
-    const auto lowered = normalised_host(host);
     std::vector<std::string> methods;
-    for (const auto& route : snapshot.routes) {
-        if (covers(route.config, lowered, path)) {
-            methods.insert(methods.end(), route.config.methods.begin(), route.config.methods.end());
-        }
-    }
+    visit_routes(snapshot, host, without_query(path), [&](const compiled_route& route) {
+        methods.insert(methods.end(), route.config.methods.begin(), route.config.methods.end());
+        return false;
+    });
     std::sort(methods.begin(), methods.end());
     methods.erase(std::unique(methods.begin(), methods.end()), methods.end());
     return methods;
--- a/src/routing/snapshot.cpp
+++ b/src/routing/snapshot.cpp
@@ -54,16 +54,15 @@
     }
 }
 
+// Routes of one host are adjacent, so that `match_route` finds them by binary search.
 bool precedes(const compiled_route& left, const compiled_route& right)
 {
     const auto rank = [](const route_config& route) {
-        return std::make_tuple(route.host.empty(), -static_cast<std::ptrdiff_t>(route.path_prefix.size()),
-                               route.methods.empty());
+        const auto longest_first = -static_cast<std::ptrdiff_t>(route.path_prefix.size());
+        return std::make_tuple(route.host.empty(), std::string_view{route.host}, longest_first,
+                               route.methods.empty(), std::string_view{route.name});
     };
-    if (rank(left.config) != rank(right.config)) {
-        return rank(left.config) < rank(right.config);
-    }
-    return left.config.name < right.config.name;
+    return rank(left.config) < rank(right.config);
 }
 
 } // namespace
--- a/tests/routing/match.cpp
+++ b/tests/routing/match.cpp
@@ -1,8 +1,14 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
 #include <kumquatdrift/routing/match.hpp>
 
 #include "support/mesh_builders.hpp"
@@ -90,5 +96,48 @@
     EXPECT_EQ(this->match("h", "/balcao"), "invalid");
 }
 
+// Guards against a search that differs from the rule: exact host, then longest prefix, then method.
+RC_GTEST_PROP(route_matching_rule, search_agrees_with_a_scan_of_all_routes, ())
+{
+    const auto hosts = rc::gen::element<std::string>("", "a.example", "b.example", "c.example");
+    const auto prefixes = rc::gen::element<std::string>("/", "/x", "/x/y", "/x/y/", "/xy");
+    using method_list = std::vector<std::string>;
+    const auto methods = rc::gen::element(method_list{}, method_list{"GET"}, method_list{"PUT"});
+    auto config = make_config(1, {"balcao"});
+    const auto count = *rc::gen::inRange(0, 12);
+    for (int number = 0; number < count; ++number) {
+        auto& route = config.routes["r" + std::to_string(number)];
+        route = {.name = "r" + std::to_string(number),
+                 .host = *hosts,
+                 .path_prefix = *prefixes,
+                 .methods = *methods,
+                 .service = "balcao"};
+    }
+    const auto snapshot = *build_snapshot(config, member_view{}).value();
+    const auto host = *rc::gen::element<std::string>("a.example", "b.example", "z.example", "");
+    const auto path = *rc::gen::element<std::string>("/", "/x", "/x/y", "/x/y/z", "/xyz");
+    const auto fits = [&](const route_config& route) {
+        const auto& prefix = route.path_prefix;
+        const auto has_prefix =
+            path.starts_with(prefix) &&
+            (path.size() == prefix.size() || prefix.back() == '/' || path[prefix.size()] == '/');
+        const auto has_method = route.methods.empty() || route.methods[0] == "GET";
+        return has_prefix && has_method && (route.host.empty() || route.host == host);
+    };
+    const auto rank = [](const route_config& route) {
+        return std::pair{!route.host.empty(), route.path_prefix.size()};
+    };
+    std::optional<std::pair<bool, std::size_t>> best;
+    for (const auto& [name, route] : config.routes) {
+        if (fits(route)) {
+            best = std::max(best.value_or(rank(route)), rank(route));
+        }
+    }
+    const auto found = match_route(*snapshot, host, path, "GET");
+    RC_ASSERT(found.route.has_value() == best.has_value());
+    RC_ASSERT(!found.route || fits(snapshot->routes[*found.route].config));
+    RC_ASSERT(!found.route || rank(snapshot->routes[*found.route].config) == *best);
+}
+
 } // namespace
 } // namespace kumquatdrift
