--- /dev/null
+++ b/bench/proxy_latency.py
@@ -0,0 +1,83 @@
+#!/usr/bin/env python3
+"""Measures calls through an entry node and a target's node against direct calls to the target.
+
+Starts one target_server and two static_proxy processes on free loopback ports, runs load_generator at
+several call rates, and prints latencies, the latency added, and the CPU time of each node per call.
+"""
+import argparse
+import json
+import os
+import pathlib
+import subprocess
+
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+def start(command):
+    process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+    return process, process.stdout.readline().split()
+
+
+def cpu_seconds(process):
+    fields = pathlib.Path(f"/proc/{process.pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def resident_mb(process):
+    for line in pathlib.Path(f"/proc/{process.pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def load(binaries, address, rate, options):
+    command = [binaries / "load_generator", address, "--rate", str(rate), "--duration-ms",
+               str(options.duration_ms), "--connections", str(options.connections), "--method",
+               "POST" if options.body_bytes else "GET", "--body-bytes", str(options.body_bytes)]
+    return json.loads(subprocess.run(command, capture_output=True, text=True, check=True).stdout)
+
+
+def measure(binaries, options, direct, through, entry, peer):
+    print("rate  direct p50/p99 ms  through p50/p99 ms  added p50/p99 ms  "
+          "entry us/call  peer us/call  calls/s per core  ok/sent")
+    for rate in options.rates:
+        base = load(binaries, direct, rate, options)
+        before = cpu_seconds(entry), cpu_seconds(peer)
+        result = load(binaries, through, rate, options)
+        used = [1e6 * (now - then) / result["sent"]
+                for now, then in zip((cpu_seconds(entry), cpu_seconds(peer)), before)]
+        print(f"{rate:5d}  {base['p50_ms']:.3f} {base['p99_ms']:.3f}  "
+              f"{result['p50_ms']:.3f} {result['p99_ms']:.3f}  "
+              f"{result['p50_ms'] - base['p50_ms']:.3f} {result['p99_ms'] - base['p99_ms']:.3f}  "
+              f"{used[0]:.0f}  {used[1]:.0f}  {1e6 / max(sum(used), 1):.0f}  "
+              f"{result['ok']}/{result['sent']}", flush=True)
+    print(f"resident MB: entry {resident_mb(entry):.1f}, peer {resident_mb(peer):.1f}")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--bin", type=pathlib.Path, default=pathlib.Path("build/bin"))
+    parser.add_argument("--rates", type=int, nargs="+", default=[200, 600, 1500, 3000])
+    parser.add_argument("--duration-ms", type=int, default=4000)
+    parser.add_argument("--connections", type=int, default=16)
+    parser.add_argument("--body-bytes", type=int, default=0)
+    options = parser.parse_args()
+    processes = []
+    try:
+        target, words = start([options.bin / "target_server", "--slots", "64"])
+        processes.append(target)
+        direct = words[-1]
+        peer, words = start([options.bin / "static_proxy", "--name", "peer", "--target", direct])
+        processes.append(peer)
+        entry, words = start([options.bin / "static_proxy", "--name", "entry", "--remote",
+                              f"127.0.0.1:{words[3]}"])
+        processes.append(entry)
+        measure(options.bin, options, direct, f"127.0.0.1:{words[1]}", entry, peer)
+    finally:
+        for process in reversed(processes):
+            process.terminate()
+            process.wait()
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/proxy/fake_target.cpp
+++ b/tests/proxy/fake_target.cpp
@@ -244,6 +244,9 @@
     case behaviour::answer_chunked:
         send(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(text) + "0\r\n\r\n");
         return true;
+    case behaviour::answer_head:
+        send(socket, with_length({}, 1'000));
+        return true;
     case behaviour::answer_slowly:
         std::this_thread::sleep_for(delay);
         send(socket, with_length(text, text.size()));
--- a/tests/proxy/fake_target.hpp
+++ b/tests/proxy/fake_target.hpp
@@ -20,6 +20,7 @@
 enum class behaviour : std::uint8_t {
     answer,
     answer_chunked,
+    answer_head,
     answer_slowly,
     close_while_idle,
     reset_before_body,
--- /dev/null
+++ b/tests/proxy/flows.cpp
@@ -0,0 +1,272 @@
+#include <gtest/gtest.h>
+
+#include <thread>
+
+#include <kumquatdrift/core/digest.hpp>
+#include <kumquatdrift/proxy/connection_pool.hpp>
+
+#include "proxy/mesh.hpp"
+
+namespace kumquatdrift {
+namespace {
+
+constexpr std::size_t megabyte = 1024 * 1024;
+
+std::string pattern(std::size_t size)
+{
+    std::string text(size, ' ');
+    for (std::size_t index = 0; index < size; ++index) {
+        text[index] = static_cast<char>('a' + (index * 7 + index / 251) % 26);
+    }
+    return text;
+}
+
+class proxy_flow : public mesh_test {
+protected:
+    void start_with_target(std::uint32_t slots = 10)
+    {
+        this->start();
+        this->add_target(this->peer, "t", this->target.address(), slots);
+        this->publish();
+    }
+
+    // Uploads slowly in a thread of its own; the body is 4 MB in 40 parts.
+    std::thread slow_upload(client_answer& answer, const std::string& body)
+    {
+        return std::thread{[this, &answer, &body] {
+            raw_client client{this->entry.proxy->ports().caller};
+            client.send("POST /p HTTP/1.1\r\nHost: h\r\nx-request-id: up\r\nContent-Length: " +
+                        std::to_string(body.size()) + "\r\n\r\n");
+            const auto part = body.size() / 40;
+            for (std::size_t start = 0; start < body.size(); start += part) {
+                client.send(body.substr(start, part));
+                std::this_thread::sleep_for(milliseconds{15});
+            }
+            answer = client.receive();
+        }};
+    }
+
+    static void expect_intact(const client_answer& answer, const std::string& body)
+    {
+        EXPECT_EQ(answer.status, 200U) << answer.head;
+        EXPECT_EQ(answer.body,
+                  "id=up bytes=" + std::to_string(body.size()) + " digest=" + to_hex(digest(body)));
+    }
+};
+
+// Guards against damage to uploads that exceed the replay buffer, with both framings.
+TEST_F(proxy_flow, large_uploads_arrive_intact)
+{
+    this->start_with_target();
+    const auto body = pattern(3 * megabyte + 17);
+    expect_intact(this->call("up", body), body);
+    std::string chunked{
+        "POST /p HTTP/1.1\r\nHost: h\r\nx-request-id: up\r\nTransfer-Encoding: chunked\r\n\r\n"};
+    constexpr std::size_t chunk_size = 0x7531;
+    for (std::size_t start = 0; start < body.size(); start += chunk_size) {
+        const auto part = body.substr(start, chunk_size);
+        std::array<char, 16> size{};
+        std::snprintf(size.data(), size.size(), "%zx\r\n", part.size());
+        chunked += size.data() + part + "\r\n";
+    }
+    raw_client client{this->entry.proxy->ports().caller};
+    client.send(chunked + "0\r\n\r\n");
+    expect_intact(client.receive(), body);
+}
+
+// Guards against a drain of the target that cuts an upload.
+TEST_F(proxy_flow, slow_upload_survives_drain_of_target)
+{
+    this->route.deadline = milliseconds{5'000};
+    this->start_with_target();
+    const auto body = pattern(4 * megabyte);
+    client_answer answer;
+    auto upload = this->slow_upload(answer, body);
+    std::this_thread::sleep_for(milliseconds{200});
+    this->peer.targets.at(0).state = target_state::draining;
+    this->peer.proxy->update_targets(this->peer.targets);
+    // The entry node still has the old snapshot.
+    const auto refused = this->call("new");
+    EXPECT_EQ(refused.status, 503U);
+    EXPECT_EQ(refused.verdict(), "not_run");
+    EXPECT_FALSE(refused.field("retry-after").empty());
+    upload.join();
+    expect_intact(answer, body);
+    EXPECT_EQ(this->target.runs("new"), 0U);
+}
+
+// Guards against a shutdown of both nodes that cuts an upload, and against new work during it.
+TEST_F(proxy_flow, slow_upload_survives_drain_of_nodes)
+{
+    this->route.deadline = milliseconds{5'000};
+    this->start_with_target();
+    const auto body = pattern(4 * megabyte);
+    client_answer answer;
+    auto upload = this->slow_upload(answer, body);
+    std::this_thread::sleep_for(milliseconds{200});
+    this->peer.proxy->drain();
+    this->entry.proxy->drain();
+    EXPECT_EQ(this->entry.proxy->in_flight(), 1U);
+    const auto refused = this->call("new");
+    EXPECT_EQ(refused.status, 503U);
+    EXPECT_EQ(refused.verdict(), "not_run");
+    EXPECT_FALSE(refused.field("retry-after").empty());
+    EXPECT_TRUE(this->entry.proxy->stop(milliseconds{4'000}));
+    EXPECT_TRUE(this->peer.proxy->stop(milliseconds{1'000}));
+    upload.join();
+    expect_intact(answer, body);
+}
+
+// Guards against a request that waits while its target drains, and runs or is lost.
+TEST_F(proxy_flow, waiting_request_is_rejected_at_drain)
+{
+    this->route.retry.max_attempts = 1;
+    this->start_with_target(1);
+    this->target.behave(behaviour::answer_slowly, milliseconds{300});
+    std::thread first{[this] { EXPECT_EQ(this->call("1").status, 200U); }};
+    std::this_thread::sleep_for(milliseconds{60});
+    const auto started = steady_now();
+    client_answer waiting;
+    std::thread second{[&] { waiting = this->call("2"); }};
+    std::this_thread::sleep_for(milliseconds{60});
+    this->peer.targets.at(0).state = target_state::draining;
+    this->peer.proxy->update_targets(this->peer.targets);
+    second.join();
+    EXPECT_LT(steady_now() - started, milliseconds{200});
+    EXPECT_EQ(waiting.status, 503U);
+    EXPECT_EQ(waiting.verdict(), "not_run");
+    first.join();
+    EXPECT_EQ(this->target.runs("2"), 0U);
+}
+
+// Guards against sending a large body to a node that rejects it, which would make it impossible to retry.
+TEST_F(proxy_flow, large_body_is_kept_until_admission)
+{
+    fake_target other;
+    this->start_with_target();
+    this->peer.proxy->drain();
+    this->add_target(this->entry, "u", other.address());
+    this->publish();
+    const auto body = pattern(megabyte);
+    for (int index = 0; index < 6; ++index) {
+        expect_intact(this->call("up", body), body);
+    }
+    EXPECT_EQ(other.runs("up"), 6U);
+}
+
+// Guards against an upload that goes on although the target has already refused it.
+TEST_F(proxy_flow, early_refusal_of_the_target_is_passed_on)
+{
+    this->route.retry.max_attempts = 1;
+    this->start_with_target();
+    this->target.behave(behaviour::refuse_early);
+    const auto answer = this->call("up", pattern(2 * megabyte));
+    EXPECT_EQ(answer.status, 429U);
+    EXPECT_EQ(answer.verdict(), "not_run");
+}
+
+class proxy_claims : public mesh_test {
+protected:
+    void SetUp() override
+    {
+        mesh_test::SetUp();
+        this->route.idempotency_key_header = "idempotency-key";
+        this->start();
+        this->add_target(this->peer, "t", this->target.address());
+        this->publish();
+    }
+
+    [[nodiscard]] client_answer keyed(const std::string& id)
+    {
+        return this->call(id, "body", "Idempotency-Key: k\r\n");
+    }
+};
+
+// Guards against running a request that another attempt holds.
+TEST_F(proxy_claims, claimed_key_gets_409_and_does_not_run)
+{
+    this->entry.claims.next = {claim_outcome::claimed, {}, milliseconds{2'000}, {}};
+    const auto answer = this->keyed("x");
+    EXPECT_EQ(answer.status, 409U);
+    EXPECT_EQ(answer.verdict(), "may_have_run");
+    EXPECT_EQ(answer.field("retry-after"), "2");
+    EXPECT_EQ(this->target.total_runs(), 0U);
+}
+
+// Guards against a second run of a completed request, and against a stored answer that differs.
+TEST_F(proxy_claims, completed_key_gets_the_stored_answer)
+{
+    EXPECT_EQ(this->keyed("x").status, 200U);
+    ASSERT_TRUE(this->entry.claims.stored);
+    EXPECT_EQ(this->entry.claims.completed, std::vector<std::string>{"k"});
+    this->entry.claims.next = {claim_outcome::completed, this->entry.claims.stored, milliseconds{0}, {}};
+    const auto answer = this->keyed("y");
+    EXPECT_EQ(answer.status, 200U);
+    EXPECT_EQ(answer.body.rfind("id=x ", 0), 0U) << answer.body;
+    EXPECT_EQ(answer.verdict(), "ran");
+    EXPECT_EQ(this->target.total_runs(), 1U);
+}
+
+// Guards against running without a claim during an outage of the log, unless the route allows it.
+TEST_F(proxy_claims, unavailable_claim_is_refused_or_run_as_the_route_says)
+{
+    this->entry.claims.next = {claim_outcome::unavailable, {}, milliseconds{1'000}, "log is down"};
+    const auto answer = this->keyed("x");
+    EXPECT_EQ(answer.status, 503U);
+    EXPECT_EQ(answer.verdict(), "not_run");
+    EXPECT_EQ(this->target.total_runs(), 0U);
+    this->route.on_log_outage = log_outage_policy::run_unclaimed;
+    this->publish();
+    EXPECT_EQ(this->keyed("y").status, 200U);
+}
+
+// Guards against a key that stays blocked although nothing ran, or is given up although it may have run.
+TEST_F(proxy_claims, key_is_released_only_if_the_request_was_not_run)
+{
+    this->target.behave(behaviour::state_not_run);
+    EXPECT_EQ(this->keyed("x").verdict(), "not_run");
+    EXPECT_EQ(this->entry.claims.released, std::vector<std::string>{"k"});
+    this->target.behave(behaviour::reset_before_answer);
+    EXPECT_EQ(this->keyed("y").verdict(), "may_have_run");
+    EXPECT_EQ(this->entry.claims.released.size(), 1U);
+    EXPECT_TRUE(this->entry.claims.completed.empty());
+}
+
+class pool_test : public testing::Test {
+protected:
+    fake_target target{};
+    std::shared_ptr<connection_pool> pool =
+        connection_pool::create({2, milliseconds{200}, milliseconds{100}}, 4'096);
+};
+
+// Guards against more connections than allowed, and against a wait past the deadline.
+TEST_F(pool_test, exhausted_pool_waits_until_a_connection_is_released)
+{
+    const auto soon = [] { return steady_now() + milliseconds{50}; };
+    auto first = this->pool->acquire(this->target.address(), soon());
+    auto second = this->pool->acquire(this->target.address(), soon());
+    EXPECT_EQ(this->pool->acquire(this->target.address(), soon()).status, connect_status::exhausted);
+    std::thread releaser{[&first] {
+        std::this_thread::sleep_for(milliseconds{20});
+        first.connection.give_back();
+    }};
+    const auto third = this->pool->acquire(this->target.address(), steady_now() + milliseconds{500});
+    releaser.join();
+    EXPECT_EQ(third.status, connect_status::connected);
+    EXPECT_TRUE(third.connection.is_reused());
+}
+
+// Guards against reuse of a connection that was not given back, or was idle for too long.
+TEST_F(pool_test, only_fresh_connections_that_were_given_back_are_reused)
+{
+    const auto until = steady_now() + milliseconds{1'000};
+    this->pool->acquire(this->target.address(), until).connection.abort();
+    EXPECT_EQ(this->pool->idle_connections(), 0U);
+    this->pool->acquire(this->target.address(), until).connection.give_back();
+    EXPECT_EQ(this->pool->idle_connections(), 1U);
+    std::this_thread::sleep_for(milliseconds{120});
+    EXPECT_FALSE(this->pool->acquire(this->target.address(), until).connection.is_reused());
+}
+
+} // namespace
+} // namespace kumquatdrift
