Assemble the node, the daemon and the quickstart; test the mesh with real processes

The node wires membership, distribution, claims, routing and proxy, and offers /healthz, /readyz, /metrics, /v1/status and /v1/announce.

The settings now check both relations.

--- a/include/kumquatdrift/settings/daemon_settings.hpp
+++ b/include/kumquatdrift/settings/daemon_settings.hpp
@@ -77,7 +77,7 @@
     /*! @brief Budget of the gossip in bytes per second. */
     std::int64_t gossip_bytes_per_second{};
 
-    /*! @brief Source of the configuration: `tree` or `log_poll`. */
+    /*! @brief Source of the configuration: `relays` or `log_poll`. */
     std::string distribution_source{};
     /*! @brief Time in milliseconds between reads in the `log_poll` mode. */
     std::int64_t log_poll_interval_ms{};
@@ -97,7 +97,7 @@
     /*! @brief Time in milliseconds for which a crash suspect is quarantined. */
     std::int64_t quarantine_ms{};
 
-    /*! @brief Level of the logs: `trace`, `debug`, `info`, `warn` or `error`. */
+    /*! @brief Level of the logs: `debug`, `info`, `warn` or `error`. */
     std::string log_level{};
     /*! @brief File for finished spans as JSON lines; empty for none, `-` for standard error. */
     std::string span_sink{};
--- /dev/null
+++ b/src/node/advisory_exchange.hpp
@@ -0,0 +1,44 @@
+#ifndef KUMQUATDRIFT_NODE_ADVISORY_EXCHANGE_HPP
+#define KUMQUATDRIFT_NODE_ADVISORY_EXCHANGE_HPP
+
+#include <string>
+
+#include <kumquatdrift/membership/service.hpp>
+#include <kumquatdrift/proxy/service.hpp>
+
+#include "node/periodic_task.hpp"
+
+namespace kumquatdrift::internal {
+
+/*! @brief Passes crash advisories between the proxy and the gossip. */
+class advisory_exchange {
+public:
+    /**
+     * @brief Starts the thread that hands the advisories of other nodes to the proxy.
+     * @param membership Membership of this node; must outlive this object.
+     * @param proxy Proxy of this node; must outlive this object.
+     * @param node Name of this node.
+     */
+    advisory_exchange(membership_service& membership, proxy_service& proxy, const std::string& node);
+
+    /**
+     * @brief Shares an advisory of this node.
+     * @param membership Membership of this node.
+     * @param node Name of this node.
+     * @param advisory The advisory.
+     */
+    static void share(membership_service& membership, const std::string& node,
+                      const crash_advisory& advisory);
+
+private:
+    void receive();
+
+    membership_service& membership;
+    proxy_service& proxy;
+    std::string own_key_suffix;
+    periodic_task receiver;
+};
+
+} // namespace kumquatdrift::internal
+
+#endif
--- /dev/null
+++ b/src/node/announcer.cpp
@@ -0,0 +1,52 @@
+#include "node/announcer.hpp"
+
+#include <string>
+#include <utility>
+
+#include <kumquatdrift/telemetry/log.hpp>
+
+namespace kumquatdrift::internal {
+
+namespace {
+
+constexpr milliseconds sweep_interval{250};
+
+const part_logger& logger()
+{
+    static const part_logger instance{log_part::node};
+    return instance;
+}
+
+} // namespace
+
+announcer::announcer(publish_function receiver)
+    : publish{std::move(receiver)}, sweeper{sweep_interval, [this] { this->remove_expired(); }}
+{
+}
+
+result<bool> announcer::announce(target_record target, milliseconds ttl)
+{
+    const auto description = "target " + target.id + " of service " + target.service + " announced " +
+                             std::string{to_name(target.state)};
+    const std::lock_guard lock{this->mutex};
+    auto changed = kumquatdrift::announce(this->table, std::move(target), ttl, steady_now());
+    if (changed && *changed) {
+        logger().write(log_level::info, description);
+        this->publish(targets_of(this->table));
+    }
+    return changed;
+}
+
+void announcer::remove_expired()
+{
+    const std::lock_guard lock{this->mutex};
+    const auto expired = sweep(this->table, steady_now());
+    for (const auto& id : expired) {
+        logger().write(log_level::warn, "target " + id + " stopped announcing itself and was removed");
+    }
+    if (!expired.empty()) {
+        this->publish(targets_of(this->table));
+    }
+}
+
+} // namespace kumquatdrift::internal
--- /dev/null
+++ b/src/node/mapping.hpp
@@ -0,0 +1,39 @@
+#ifndef KUMQUATDRIFT_NODE_MAPPING_HPP
+#define KUMQUATDRIFT_NODE_MAPPING_HPP
+
+#include <kumquatdrift/distribution/service.hpp>
+#include <kumquatdrift/log/http.hpp>
+#include <kumquatdrift/membership/service.hpp>
+#include <kumquatdrift/membership/settings.hpp>
+#include <kumquatdrift/proxy/settings.hpp>
+#include <kumquatdrift/settings/daemon_settings.hpp>
+
+namespace kumquatdrift::internal {
+
+/*! @brief Settings of the log client. */
+[[nodiscard]] http_log_settings log_settings_of(const daemon_settings& settings);
+
+/*! @brief Settings of the membership module. */
+[[nodiscard]] membership_settings membership_settings_of(const daemon_settings& settings);
+
+/*! @brief Identity of this node with the current time as start time. */
+[[nodiscard]] member_identity identity_of(const daemon_settings& settings);
+
+/*! @brief Settings of the distribution service. */
+[[nodiscard]] distribution_settings distribution_settings_of(const daemon_settings& settings);
+
+/*! @brief Settings of the proxy. */
+[[nodiscard]] proxy_settings proxy_settings_of(const daemon_settings& settings);
+
+/*! @brief Limits of the admin listener. */
+[[nodiscard]] listener_limits admin_limits_of(const daemon_settings& settings);
+
+/**
+ * @brief Reads the wall clock.
+ * @return Microseconds since the epoch.
+ */
+[[nodiscard]] std::uint64_t epoch_now_us();
+
+} // namespace kumquatdrift::internal
+
+#endif
--- a/src/settings/fields.cpp
+++ b/src/settings/fields.cpp
@@ -50,12 +50,12 @@
 
 bool is_source(std::string_view text)
 {
-    return text == "tree" || text == "log_poll";
+    return text == "relays" || text == "log_poll";
 }
 
 bool is_log_level(std::string_view text)
 {
-    constexpr std::array<std::string_view, 5> levels{"trace", "debug", "info", "warn", "error"};
+    constexpr std::array<std::string_view, 4> levels{"debug", "info", "warn", "error"};
     return std::find(levels.begin(), levels.end(), text) != levels.end();
 }
 
@@ -223,7 +223,7 @@
     }
     });
     table.integer("membership.bytes_per_second", "bytes/s", "Budget of the gossip that this node sends.",
-                  {500, 10 * mebibyte, 8'000,
+                  {500, 10 * mebibyte, 6'000,
                    [](auto& settings) -> auto& { return settings.gossip_bytes_per_second;
     }
     });
@@ -232,8 +232,8 @@
     void add_distribution(table_builder& table)
     {
     table.text("distribution.source",
-               "`tree`: relays tail the log, other nodes follow two parents. `log_poll`: every node polls the log.",
-               {false, "tree", "tree or log_poll", is_source,
+               "`relays`: relays tail the log, other nodes follow two parents. `log_poll`: every node polls the log.",
+               {false, "relays", "relays or log_poll", is_source,
                 [](auto& settings) -> auto& { return settings.distribution_source;
     }
     });
@@ -274,7 +274,7 @@
     void add_telemetry(table_builder& table)
     {
     table.text("telemetry.log_level", "Lowest level of the logs that are written.",
-               {false, "info", "trace, debug, info, warn or error", is_log_level,
+               {false, "info", "debug, info, warn or error", is_log_level,
                 [](auto& settings) -> auto& { return settings.log_level;
     }
     });
--- a/src/settings/parse.cpp
+++ b/src/settings/parse.cpp
@@ -165,6 +165,22 @@
     claim("listeners.control.port", settings.ip, settings.control_port);
 }
 
+/*! @brief Checks values that depend on each other. */
+void check_relations(settings_outcome& outcome)
+{
+    const auto& settings = outcome.settings;
+    if (settings.probe_timeout_ms >= settings.probe_interval_ms) {
+        outcome.faults.push_back(
+            {"membership.probe_timeout_ms", "must be below membership.probe_interval_ms, which is " +
+                                                std::to_string(settings.probe_interval_ms)});
+    }
+    if (settings.silence_timeout_ms <= settings.heartbeat_interval_ms) {
+        outcome.faults.push_back({"distribution.silence_timeout_ms",
+                                  "must be above distribution.heartbeat_interval_ms, which is " +
+                                      std::to_string(settings.heartbeat_interval_ms)});
+    }
+}
+
 } // namespace
 
 settings_outcome parse_settings(std::string_view text)
@@ -189,6 +205,7 @@
         read_field(row, root, outcome);
     }
     check_ports(outcome);
+    check_relations(outcome);
     return outcome;
 }
 
--- a/tests/config/document.cpp
+++ b/tests/config/document.cpp
@@ -40,7 +40,7 @@
 TEST_F(config_document, text_that_is_not_an_object_is_an_error)
 {
     for (const auto* const text :
-         {"", "[]", "1", "null", "{", "{} {}", "{\"a\":1,}", "{/**/}", "{\"a\":1e999}"}) {
+         {"", "[]", "1", "null", "{", "{} {}", "{\"a\":1,}", "{/*}", "{\"a\":1e999}"}) {
         EXPECT_FALSE(json_document::parse(text) && validate_config(*json_document::parse(text))) << text;
     }
 }
--- /dev/null
+++ b/tests/process/mesh_test.py
@@ -0,0 +1,356 @@
+"""Failure tests with real processes: kill, stop, log outages, lost answers, crashing requests."""
+
+import http.client
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts" / "lib"))
+
+from mesh import BIN, Mesh, make_fleet, request, wait_until  # noqa: E402
+
+# Bound from the users' target: a version is in force everywhere within 4 s.
+CONVERGENCE_LIMIT_S = 4.0
+
+BASE = {
+    "services": {"desk": {"queue_limit": 20}},
+    "routes": {
+        "read": {"path_prefix": "/read", "methods": ["GET"], "service": "desk", "deadline_ms": 3000,
+                 "idempotent": True},
+        "slow": {"path_prefix": "/slow", "methods": ["GET"], "service": "desk", "deadline_ms": 5000,
+                 "idempotent": False},
+        "crash": {"path_prefix": "/crash", "methods": ["GET"], "service": "desk", "deadline_ms": 3000,
+                  "idempotent": True},
+        "credit": {"path_prefix": "/credit", "methods": ["POST"], "service": "desk", "deadline_ms": 4000,
+                   "idempotent": False, "idempotency_key_header": "idempotency-key"},
+        "paper": {"path_prefix": "/paper", "methods": ["POST"], "service": "desk", "deadline_ms": 30000,
+                  "idempotent": False},
+    },
+}
+
+
+class MeshTest(unittest.TestCase):
+    """Two data centres with two nodes each, and a target on every host but the first."""
+
+    overrides = {"membership": {"probe_interval_ms": 300, "probe_timeout_ms": 100,
+                                "suspicion_timeout_ms": 1000, "sync_interval_ms": 1000}}
+
+    def setUp(self):
+        self.mesh = Mesh()
+        self.addCleanup(self.mesh.stop)
+        self.log_address, self.fleet = make_fleet(2, 2, self.overrides)
+        self.nodes = list(self.fleet)
+
+    def tearDown(self):
+        result = self._outcome.result
+        if any(test is self for test, _ in result.failures + result.errors):
+            for name, process in self.mesh.processes.items():
+                print(f"-- {name}", *process.output().splitlines()[-15:], sep="\n   ", file=sys.stderr)
+
+    def start(self, targets=True):
+        self.mesh.start_log(self.log_address)
+        for settings in self.fleet.values():
+            self.mesh.start_node(settings)
+        self.until(lambda: all(self.mesh.version(node) == 0 for node in self.nodes), "all nodes answer")
+        self.publish(BASE)
+        if targets:
+            for node in self.nodes[1:]:
+                self.mesh.start_target(node, f"t-{node}", "desk", "--slots", "4", "--work-ms", "5")
+            self.until(lambda: self.target_states() == {"ready": 3}, "three ready targets at every node")
+
+    def publish(self, document, expected=0):
+        path = self.mesh.directory / "base.json"
+        path.write_text(json.dumps(document))
+        done = self.mesh.ctl("publish", "base", path, "--wait", node=self.nodes[0])
+        self.assertEqual(done.returncode, expected, done.stdout + done.stderr)
+
+    def until(self, condition, what, timeout=10.0):
+        took = wait_until(condition, timeout)
+        self.assertIsNotNone(took, f"not within {timeout} s: {what}")
+        return took
+
+    def target_states(self):
+        """Returns the number of live targets by state if all nodes agree on it."""
+        seen = []
+        for node in self.nodes:
+            states = {}
+            for member in self.mesh.status(node)["members"]:
+                if member["status"] == "alive":
+                    for target in member["targets"]:
+                        states[target["state"]] = states.get(target["state"], 0) + 1
+            seen.append(states)
+        return seen[0] if all(states == seen[0] for states in seen) else None
+
+    def runs(self, request_id):
+        """Counts the runs of a request at the targets that still answer."""
+        total = 0
+        for node in self.nodes[1:]:
+            try:
+                ledger = request("GET", f"{self.fleet[node]['ip']}:7600", "/ledger", timeout=2)[2]
+            except OSError:
+                continue
+            total += json.loads(ledger).get(request_id, 0)
+        return total
+
+
+class Configuration(MeshTest):
+    # Guards against a node that loses or reverts its version while the log is down, and against a publish
+    # that claims success during an outage.
+    def test_log_outage_keeps_version_and_refuses_publish(self):
+        self.start()
+        version = self.mesh.version(self.nodes[0])
+        self.mesh.log_control(outage=True)
+        time.sleep(1)
+        self.publish({**BASE, "routes": {**BASE["routes"], "new": {**BASE["routes"]["read"], "path_prefix": "/n"}}},
+                     expected=4)
+        for node in self.nodes:
+            self.assertEqual(self.mesh.version(node), version)
+            self.assertEqual(self.mesh.call(node, "GET", "/read")[0], 200)
+        self.mesh.log_control(outage=False)
+        self.publish({**BASE, "routes": {**BASE["routes"], "new": {**BASE["routes"]["read"], "path_prefix": "/n"}}})
+        self.until(lambda: all(self.mesh.version(node) > version for node in self.nodes), "new version everywhere")
+
+    # Guards against an edit that is applied twice, or reported as failed, because the answer to its append
+    # was lost.
+    def test_lost_append_answer_publishes_once(self):
+        self.start(targets=False)
+        self.mesh.log_control(lose_answers=1)
+        self.publish({**BASE, "services": {"desk": {"queue_limit": 21}}})
+        history = json.loads(self.mesh.ctl("history", "--json").stdout)
+        accepted = [entry for entry in history if entry["outcome"] == "accepted"]
+        self.assertEqual(len(accepted), 2, history)
+
+    # Guards against a restarted node on an empty host that serves an older version, or none, while the log
+    # is down although its peers know the version.
+    def test_node_restarted_during_outage_takes_version_from_peers(self):
+        self.start()
+        version = self.mesh.version(self.nodes[0])
+        self.mesh.log_control(outage=True)
+        self.mesh.processes[self.nodes[1]].kill()
+        self.mesh.start_node(self.fleet[self.nodes[1]])
+        self.until(lambda: self.mesh.ready(self.nodes[1]), "restarted node is ready", 15)
+        self.assertEqual(self.mesh.version(self.nodes[1]), version)
+
+    # Guards against a paused node that keeps an old version after it wakes, or goes back.
+    def test_stopped_node_catches_up(self):
+        self.start()
+        stopped = self.mesh.processes[self.nodes[3]]
+        stopped.send(signal.SIGSTOP)
+        path = self.mesh.directory / "base.json"
+        path.write_text(json.dumps({**BASE, "services": {"desk": {"queue_limit": 22}}}))
+        self.assertEqual(self.mesh.ctl("publish", "base", path).returncode, 0)
+        self.until(lambda: self.mesh.version(self.nodes[0]) == 2, "running node has the second version")
+        time.sleep(3)
+        stopped.send(signal.SIGCONT)
+        self.until(lambda: self.mesh.version(self.nodes[3]) == 2, "woken node has the second version", 15)
+
+    # Guards against a mesh that stays without configuration after all its nodes died together.
+    def test_all_nodes_restarted_at_once_reach_the_version_again(self):
+        self.start()
+        for node in self.nodes:
+            self.mesh.processes[node].kill()
+        for settings in self.fleet.values():
+            self.mesh.start_node(settings)
+        took = self.until(lambda: all(self.mesh.ready(node) for node in self.nodes), "all nodes are ready", 15)
+        self.assertLess(took, 10.0)
+
+    # Guards against one operator's edit that silently overwrites another's.
+    def test_racing_publishes_of_one_document_lose_nothing(self):
+        self.start(targets=False)
+        done = []
+
+        def publish(limit):
+            path = self.mesh.directory / f"base-{limit}.json"
+            path.write_text(json.dumps({**BASE, "services": {"desk": {"queue_limit": limit}}}))
+            done.append((limit, self.mesh.ctl("publish", "base", path).returncode))
+
+        threads = [threading.Thread(target=publish, args=(limit,)) for limit in range(30, 36)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        history = json.loads(self.mesh.ctl("history", "--json").stdout)
+        accepted = [entry for entry in history if entry["outcome"] == "accepted"]
+        self.assertEqual(len(accepted) - 1, sum(1 for _, code in done if code == 0), (done, history))
+        self.assertTrue(all(code in (0, 3) for _, code in done), done)
+
+
+class Requests(MeshTest):
+    # Guards against a credit that is posted twice when its caller sends it again elsewhere.
+    def test_same_key_at_two_nodes_runs_once_and_gets_the_same_answer(self):
+        self.start()
+        headers = {"idempotency-key": "k1", "x-request-id": "r1"}
+        first = self.mesh.call(self.nodes[0], "POST", "/credit", b"1", headers)
+        again = self.mesh.call_again(self.nodes[3], "POST", "/credit", b"1", headers)
+        self.assertEqual((first[0], again[0]), (200, 200), (first, again))
+        self.assertEqual(first[2], again[2])
+        self.assertEqual(self.runs("r1"), 1)
+
+    # Guards against a double run when many callers send one key through all nodes at the same moment.
+    def test_same_key_at_all_nodes_at_once_runs_once(self):
+        self.start()
+        answers = []
+
+        def send(node):
+            headers = {"idempotency-key": "k2", "x-request-id": "r2"}
+            answers.append(self.mesh.call(node, "POST", "/credit", b"1", headers)[0])
+
+        threads = [threading.Thread(target=send, args=(node,)) for node in self.nodes * 3]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(self.runs("r2"), 1, answers)
+        self.assertTrue(set(answers) <= {200, 409, 503}, answers)
+
+    # Guards against a keyed request that runs, or claims that it may have run, while claims cannot be made.
+    def test_keyed_request_during_log_outage_is_refused_as_not_run(self):
+        self.start()
+        self.mesh.log_control(outage=True)
+        status, headers, _ = self.mesh.call(self.nodes[0], "POST", "/credit", b"1",
+                                            {"idempotency-key": "k3", "x-request-id": "r3"})
+        self.assertEqual(status, 503)
+        self.assertEqual(headers.get("x-kumquatdrift-verdict"), "not_run")
+        self.assertIn("retry-after", headers)
+        self.assertEqual(self.runs("r3"), 0)
+
+    # Guards against a refusal marked as not run although the target had begun, when the target is killed.
+    def test_target_killed_during_run_is_answered_as_may_have_run(self):
+        self.start()
+        for node in self.nodes[2:]:
+            self.mesh.processes[f"target-t-{node}"].kill()
+        self.until(lambda: self.target_states() == {"ready": 1}, "one target is left")
+        answer = {}
+
+        def send():
+            answer["value"] = self.mesh.call(self.nodes[0], "GET", "/slow?ms=2000")
+
+        thread = threading.Thread(target=send)
+        thread.start()
+        time.sleep(0.7)
+        self.mesh.processes[f"target-t-{self.nodes[1]}"].kill()
+        begin = time.monotonic()
+        thread.join()
+        status, headers, _ = answer["value"]
+        self.assertEqual(status, 502, headers)
+        self.assertEqual(headers.get("x-kumquatdrift-verdict"), "may_have_run")
+        self.assertLess(time.monotonic() - begin, 1.0, "the final answer comes at once")
+
+    # Guards against one request that takes down every target, one after another.
+    def test_crashing_request_sent_again_and_again_loses_two_targets_at_most(self):
+        self.start()
+        for _ in range(8):
+            try:
+                self.mesh.call(self.nodes[0], "GET", "/crash", timeout=5)
+            except (OSError, http.client.HTTPException):
+                pass
+            time.sleep(0.2)
+        alive = [node for node in self.nodes[1:] if self.mesh.processes[f"target-t-{node}"].running()]
+        self.assertGreaterEqual(len(alive), 1, "two deaths are enough to quarantine the request")
+        self.assertEqual(self.mesh.call(self.nodes[0], "GET", "/read")[0], 200)
+
+    # Guards against requests that are cut, or refused without need, when a node is killed.
+    def test_reads_survive_a_killed_node(self):
+        self.start()
+        self.mesh.processes[self.nodes[2]].kill()
+        statuses = [self.mesh.call(self.nodes[0], "GET", "/read")[0] for _ in range(100)]
+        self.assertEqual(statuses, [200] * 100)
+
+    # Guards against a frozen node that holds callers beyond the deadline of their route.
+    def test_reads_survive_a_frozen_node(self):
+        self.start()
+        self.mesh.processes[self.nodes[2]].send(signal.SIGSTOP)
+        self.until(lambda: [member["status"] for member in self.mesh.status(self.nodes[0])["members"]
+                            if member["node"] == self.nodes[2]] != ["alive"], "frozen node is noticed")
+        statuses = [self.mesh.call(self.nodes[0], "GET", "/read")[0] for _ in range(50)]
+        self.assertEqual(statuses, [200] * 50)
+
+    # Guards against uploads that are cut when the target, or the node beside it, shuts down gracefully.
+    def test_upload_survives_drain_of_target_and_node(self):
+        self.start()
+        for node in self.nodes[2:]:
+            self.mesh.processes[f"target-t-{node}"].send(signal.SIGTERM)
+        self.until(lambda: self.target_states() in ({"ready": 1}, {"ready": 1, "draining": 2}), "one target is left")
+        size = 4 * 1024 * 1024
+        answer = {}
+
+        def body():
+            for _ in range(16):
+                yield bytes(size // 16)
+                time.sleep(0.15)
+
+        def send():
+            answer["value"] = self.mesh.call(self.nodes[0], "POST", "/paper", body(),
+                                             {"content-length": str(size), "x-request-id": "r9"}, timeout=30)
+
+        thread = threading.Thread(target=send)
+        thread.start()
+        time.sleep(0.8)
+        self.mesh.processes[f"target-t-{self.nodes[1]}"].send(signal.SIGTERM)
+        self.mesh.processes[self.nodes[1]].send(signal.SIGTERM)
+        thread.join()
+        status, headers, content = answer["value"]
+        self.assertEqual(status, 200, (headers, content))
+        self.assertEqual(json.loads(content)["bytes"], size)
+        self.assertEqual(self.mesh.processes[self.nodes[1]].wait(20), 0)
+
+    # Guards against new work at a draining target.
+    def test_draining_target_gets_no_new_work(self):
+        self.start()
+        draining = self.nodes[1]
+        holder = threading.Thread(target=lambda: self.mesh.call(draining, "GET", "/slow?ms=2500"))
+        holder.start()
+        time.sleep(0.3)
+        self.mesh.processes[f"target-t-{draining}"].send(signal.SIGTERM)
+        self.until(lambda: (self.target_states() or {}).get("draining", 0) == 1 or
+                   (self.target_states() or {}).get("ready", 0) == 2, "drain is seen everywhere", CONVERGENCE_LIMIT_S)
+        for index in range(30):
+            self.assertEqual(self.mesh.call(self.nodes[0], "GET", "/read", headers={"x-request-id": f"d{index}"})[0],
+                             200)
+        total = sum(self.runs(f"d{index}") for index in range(30))
+        self.assertEqual(total, 30)
+        holder.join()
+
+
+class Daemon(unittest.TestCase):
+    # Guards against a daemon that starts on a faulty file or names only the first fault.
+    def test_check_prints_every_fault(self):
+        with Mesh() as mesh:
+            path = mesh.directory / "bad.json"
+            path.write_text('{"node": "UPPER", "ip": 5, "listeners": {"peer": {"port": 0}}, "what": 1}')
+            done = subprocess.run([BIN / "kumquatdriftd", "--config", path, "--check"], capture_output=True,
+                                  text=True, timeout=10, check=False)
+            self.assertEqual(done.returncode, 2)
+            for place in ("node", "data_centre", "ip", "listeners.peer.port", "log.url", "what"):
+                self.assertIn(f": {place}: ", done.stderr)
+
+    # Guards against a node that cannot be ended while it drains.
+    def test_second_signal_ends_at_once(self):
+        _, fleet = make_fleet(1, 1)
+        settings = next(iter(fleet.values()))
+        with Mesh() as mesh:
+            process = mesh.start_node(settings)
+            wait_until(lambda: request("GET", mesh.address(settings["node"], "admin"), "/healthz")[0] == 200, 10)
+            process.send(signal.SIGTERM)
+            time.sleep(0.3)
+            process.send(signal.SIGTERM)
+            self.assertEqual(process.wait(2), 3)
+
+    # Guards against two nodes on one address that would answer for each other.
+    def test_second_node_on_the_same_ports_is_refused(self):
+        _, fleet = make_fleet(1, 1)
+        settings = next(iter(fleet.values()))
+        with Mesh() as mesh:
+            mesh.start_node(settings)
+            wait_until(lambda: request("GET", mesh.address(settings["node"], "admin"), "/healthz")[0] == 200, 10)
+            second = mesh.start_node({**settings, "node": "other"})
+            self.assertEqual(second.wait(10), 1)
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
--- a/tests/settings/parse.cpp
+++ b/tests/settings/parse.cpp
@@ -34,7 +34,7 @@
     const auto outcome = parse_settings(with(""));
     ASSERT_TRUE(outcome.faults.empty()) << outcome.faults.front().place << outcome.faults.front().reason;
     EXPECT_EQ(outcome.settings.caller.port, 7400);
-    EXPECT_EQ(outcome.settings.distribution_source, "tree");
+    EXPECT_EQ(outcome.settings.distribution_source, "relays");
 }
 
 // Guards against a file that is mended one fault per start of the daemon.
@@ -87,6 +87,16 @@
     EXPECT_TRUE(has_fault(overflow, "file", "99999999999999999999"));
 }
 
+// Guards against a daemon that passes --check and then fails to start, because two values exclude each other.
+TEST_F(settings_parse, values_that_exclude_each_other_are_faults)
+{
+    const auto outcome =
+        parse_settings(with(R"(, "membership": {"probe_interval_ms": 300, "probe_timeout_ms": 300},
+                                 "distribution": {"heartbeat_interval_ms": 6000})"));
+    EXPECT_TRUE(has_fault(outcome, "membership.probe_timeout_ms", "below membership.probe_interval_ms"));
+    EXPECT_TRUE(has_fault(outcome, "distribution.silence_timeout_ms", "above"));
+}
+
 // Guards against a settings page that no longer matches the program.
 TEST_F(settings_parse, settings_page_holds_the_current_table)
 {
