Quarantine a crashing request at its entry node too

Cause: one call of an idempotent route makes up to three attempts within milliseconds. Only the nodes of the targets counted deaths, and their advisories travel by gossip, so the second and third attempt left the entry node before any advisory arrived. Ruled out: the retry budget (its floor lets a quiet node retry) and the fingerprint (equal at all nodes).

The entry node now counts the deaths that answers report and asks its own quarantine before each attempt. A death that is known from an advisory and from an answer counts once.

--- a/include/kumquatdrift/traffic/quarantine.hpp
+++ b/include/kumquatdrift/traffic/quarantine.hpp
@@ -83,6 +83,9 @@
     /*! @brief Reports of one target within this time are one death. A broken connection is seen at once by
      *         all requests on it, while a restart takes longer. */
     microseconds same_death{250'000};
+    /*! @brief A death that a node saw in an answer and one that arrived as an advisory within this time are
+     * one death. Gossip takes longer than an answer, but less than the restart of a target. */
+    microseconds same_reported_death{2'000'000};
     /*! @brief Largest number of fingerprints. */
     std::size_t max_fingerprints{1'024};
 };
@@ -140,6 +143,22 @@
      */
     void on_target_died(std::span<const std::uint64_t> in_flight, std::string_view target, timestamp now);
 
+    /**
+     * @brief Reports a death that the target's node told in its answer to this node.
+     * @param fingerprint Fingerprint of the request that was answered so.
+     * @param target Key of the target.
+     * @param now Current time.
+     */
+    void on_death_reported(std::uint64_t fingerprint, std::string_view target, timestamp now);
+
+    /**
+     * @brief Tells how long a fingerprint stays in quarantine, without taking a target.
+     * @param fingerprint Fingerprint of the request.
+     * @param now Current time.
+     * @return The time left, or nothing if it is not in quarantine.
+     */
+    [[nodiscard]] std::optional<milliseconds> quarantined_for(std::uint64_t fingerprint, timestamp now) const;
+
     /**
      * @brief Reports a complete answer, with any status, to a request that the target ran and so survived.
      *        Not for an answer with the verdict `not_run`, which proves nothing.
--- a/src/proxy/caller_request.cpp
+++ b/src/proxy/caller_request.cpp
@@ -144,6 +144,14 @@
 void caller_request::make_attempts()
 {
     while (true) {
+        if (const auto left = this->entry.host.quarantined_for(this->request.fingerprint)) {
+            this->refuse({503,
+                          verdict::not_run,
+                          *left,
+                          "Requests like this one crashed targets; it was rejected.",
+                          {}});
+            return;
+        }
         const auto choice = this->entry.state.choose(this->service, this->used);
         if (!choice.endpoint) {
             this->refuse({503, verdict::not_run, choice.retry_after, "The service has no live target.", {}});
@@ -209,6 +217,9 @@
 void caller_request::note(const endpoint& chosen, const attempt& current)
 {
     const auto& observation = current.observation;
+    if (!chosen.own) {
+        this->entry.host.on_remote_answer(this->request.fingerprint, chosen.key, observation);
+    }
     if (has_node_failed(observation)) {
         part_logger{log_part::proxy}.write(log_level::warn, "node " + chosen.node + ": " +
                                                                 std::string{to_name(observation.end)});
--- a/src/proxy/target_host.cpp
+++ b/src/proxy/target_host.cpp
@@ -317,6 +317,24 @@
     this->quarantine.on_remote(advisory, steady_now());
 }
 
+void target_host::on_remote_answer(std::uint64_t fingerprint, std::string_view target,
+                                   const hop_observation& observation)
+{
+    const std::lock_guard lock{this->quarantine_mutex};
+    if (suggests_crash(observation)) {
+        this->quarantine.on_death_reported(fingerprint, target, steady_now());
+    }
+    else if (observation.end == hop_end::answered && !observation.verdict_text) {
+        this->quarantine.on_success(fingerprint, target, steady_now());
+    }
+}
+
+std::optional<milliseconds> target_host::quarantined_for(std::uint64_t fingerprint) const
+{
+    const std::lock_guard lock{this->quarantine_mutex};
+    return this->quarantine.quarantined_for(fingerprint, steady_now());
+}
+
 std::vector<crash_advisory> target_host::advisories() const
 {
     const std::lock_guard lock{this->quarantine_mutex};
--- a/src/proxy/target_host.hpp
+++ b/src/proxy/target_host.hpp
@@ -114,6 +114,23 @@
      */
     void offer_advisory(const crash_advisory& advisory);
 
+    /**
+     * @brief Takes what the answer of another node says about its target.
+     * @param fingerprint Fingerprint of the request.
+     * @param target Key of the target.
+     * @param observation What was seen of the answer.
+     */
+    void on_remote_answer(std::uint64_t fingerprint, std::string_view target,
+                          const hop_observation& observation);
+
+    /**
+     * @brief Tells how long a request is in quarantine. An entry node asks before each attempt, since the
+     *        attempts of one call reach other nodes faster than their advisories do.
+     * @param fingerprint Fingerprint of the request.
+     * @return The time left, or nothing if it may run.
+     */
+    [[nodiscard]] std::optional<milliseconds> quarantined_for(std::uint64_t fingerprint) const;
+
     /*! @brief Lists what other nodes should know about crashes. */
     [[nodiscard]] std::vector<crash_advisory> advisories() const;
 
--- a/src/traffic/quarantine.cpp
+++ b/src/traffic/quarantine.cpp
@@ -73,6 +73,28 @@
     }
 }
 
+void crash_quarantine::on_death_reported(std::uint64_t fingerprint, std::string_view target, timestamp now)
+{
+    auto& record = this->record_of(fingerprint, now);
+    const auto& entry = this->evidence_of(record, target);
+    const auto is_known =
+        entry.counts.deaths > 0 && now - record.changed < this->settings.same_reported_death;
+    if (!is_known) {
+        this->on_target_died(std::span{&fingerprint, 1}, target, now);
+    }
+}
+
+std::optional<milliseconds> crash_quarantine::quarantined_for(std::uint64_t fingerprint, timestamp now) const
+{
+    const auto found = this->suspects.find(fingerprint);
+    const auto is_quarantined = found != this->suspects.end() && live_deaths(found->second) > 0 &&
+                                now < found->second.quarantined_until;
+    if (!is_quarantined) {
+        return std::nullopt;
+    }
+    return std::chrono::ceil<milliseconds>(found->second.quarantined_until - now);
+}
+
 void crash_quarantine::on_success(std::uint64_t fingerprint, std::string_view target, timestamp now)
 {
     const auto found = this->suspects.find(fingerprint);
--- a/tests/traffic/quarantine.cpp
+++ b/tests/traffic/quarantine.cpp
@@ -41,6 +41,25 @@
     EXPECT_EQ(this->suspects.check(killer, "c", this->now).retry_after, milliseconds{60'000});
 }
 
+// Guards against an entry node that retries one call on a third target, because only the nodes of the targets
+// count deaths.
+TEST_F(quarantine, two_reported_deaths_quarantine_the_request_at_the_entry_node)
+{
+    EXPECT_EQ(this->suspects.quarantined_for(killer, this->now), std::nullopt);
+    this->suspects.on_death_reported(killer, "a", this->now);
+    EXPECT_EQ(this->suspects.quarantined_for(killer, this->now), std::nullopt);
+    this->suspects.on_death_reported(killer, "b", this->now + milliseconds{5});
+    EXPECT_TRUE(this->suspects.quarantined_for(killer, this->now + milliseconds{6}));
+}
+
+// Guards against one death that is counted twice, when the advisory of the target's node precedes the answer.
+TEST_F(quarantine, advisory_and_answer_about_one_death_count_once)
+{
+    this->suspects.on_remote({innocent, milliseconds{0}, {{"a", 1, 0}}}, this->now);
+    this->suspects.on_death_reported(innocent, "a", this->now + milliseconds{900});
+    EXPECT_EQ(this->suspects.quarantined_for(innocent, this->now + milliseconds{901}), std::nullopt);
+}
+
 // Guards against a rejection of everything that ran beside the request that kills.
 TEST_F(quarantine, requests_beside_one_death_stay_allowed)
 {
