Test that the exit codes of concurrent operators agree with the log

Six kumquatdriftctl processes publish the base and one overlay at the same moment while three answers are lost.

--- a/tests/ctl/process.cpp
+++ b/tests/ctl/process.cpp
@@ -1,5 +1,7 @@
 #include <kumquatdrift/ctl/run.hpp>
 
+#include <algorithm>
+#include <array>
 #include <fstream>
 #include <thread>
 
@@ -103,6 +105,41 @@
     }
 }
 
+// Guards against an operator who is told that an edit was accepted when it was not, or the other way round,
+// while several publish base and overlays at the same moment and answers get lost.
+TEST_F(ctl_process, exit_codes_of_concurrent_operators_agree_with_the_log)
+{
+    ASSERT_EQ(this->run({"publish", "base", this->base.path()}), 0);
+    ASSERT_EQ(this->service.control(R"({"lose_answers":3})").first, 200);
+    constexpr int operators = 6;
+    std::array<int, operators> codes{};
+    std::array<Poco::TemporaryFile, operators> files;
+    std::vector<std::thread> threads;
+    threads.reserve(operators);
+    for (int number = 0; number < operators; ++number) {
+        const auto index = static_cast<std::size_t>(number);
+        std::ofstream{files[index].path()} << R"({"services":{"balcao":{"queue_limit":)" << number << "}}}";
+        const std::vector<std::string> document =
+            number % 2 == 0 ? std::vector<std::string>{"base"} : std::vector<std::string>{"overlay", "belem"};
+        threads.emplace_back([this, index, document, &codes, &files] {
+            auto arguments = document;
+            arguments.insert(arguments.begin(), "publish");
+            arguments.push_back(files[index].path());
+            codes[index] = this->run(arguments);
+        });
+    }
+    for (auto& thread : threads) {
+        thread.join();
+    }
+    const auto batch = read_retained(*make_http_log_port({.url = this->service.where()}), config_stream);
+    const auto outcomes = recover(*batch)->outcomes;
+    const auto accepted = std::count_if(outcomes.begin(), outcomes.end(), [](const auto& outcome) {
+        return outcome.kind == outcome_kind::accepted;
+    });
+    EXPECT_EQ(std::count(codes.begin(), codes.end(), 0) + 1, accepted);
+    EXPECT_EQ(std::count(codes.begin(), codes.end(), 3), operators + 1 - accepted);
+}
+
 /*! @brief Answers as the admin port of a node. */
 class status_handler : public Poco::Net::HTTPRequestHandler {
 public:
