End the start of a node only with a source that was current after it

A parent that was current up to the silence limit ago could take a restarted node back behind a version that it got from another relay just before the restart, unless the version floor was already known. A parent now ends the start only if it was current after the start. Heartbeats age the time that they carry until they are sent, and a node that was never current says so; its first heartbeat said 0 before.

--- a/src/distribution/engine.cpp
+++ b/src/distribution/engine.cpp
@@ -14,7 +14,6 @@
 constexpr milliseconds candidates_interval{1'000};
 constexpr milliseconds gap_retry_interval{5'000};
 constexpr milliseconds stopped_retry_interval{10'000};
-constexpr milliseconds unknown_age{24 * 3'600 * 1'000};
 constexpr std::size_t peers_per_start = 8;
 // One heartbeat may overtake the records in the ring of the parent, two in a row may not.
 constexpr std::uint32_t max_behind = 2;
@@ -299,7 +298,7 @@
 {
     if (this->now >= this->next_heartbeat) {
         this->next_heartbeat = this->now + this->settings.sources.heartbeat_interval;
-        this->hub.heartbeat({this->copy.bounds.earliest, this->age()});
+        this->hub.heartbeat({this->copy.bounds.earliest, this->age(), this->now});
     }
 }
 
--- a/src/distribution/hub.cpp
+++ b/src/distribution/hub.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 parent_hub::parent_hub(const parent_limits& limits, milliseconds longest)
-    : longest_write{longest}, limiter{make_parent_state(limits)}
+    : longest_write{longest}, limiter{make_parent_state(limits)}, info{0, unknown_age, steady_now()}
 {
 }
 
@@ -164,7 +164,8 @@
     auto& message = *event.mutable_heartbeat();
     message.set_end(this->state.next_offset);
     message.set_earliest(this->info.earliest);
-    message.set_age_ms(static_cast<std::uint32_t>(this->info.age.count()));
+    const auto elapsed = std::chrono::duration_cast<milliseconds>(steady_now() - this->info.at);
+    message.set_age_ms(static_cast<std::uint32_t>((this->info.age + elapsed).count()));
 }
 
 void parent_hub::remove(const std::shared_ptr<watch_stream>& stream)
--- a/src/distribution/hub.hpp
+++ b/src/distribution/hub.hpp
@@ -21,12 +21,17 @@
 
 class watch_stream;
 
+/*! @brief Age sent by a node that has never been current. */
+inline constexpr milliseconds unknown_age{24 * 3'600 * 1'000};
+
 /*! @brief What a heartbeat says. */
 struct heartbeat_info {
     /*! @brief Oldest offset that the log retains. */
     log_offset earliest{};
-    /*! @brief Time since this node was known to be current. */
+    /*! @brief Time since this node was known to be current, at the time `at`. */
     milliseconds age{};
+    /*! @brief Time to which the age refers. */
+    timestamp at{};
 };
 
 /*! @brief The parent side: holds what the `config` thread publishes and serves it to any number of streams.
--- a/src/distribution/sources.cpp
+++ b/src/distribution/sources.cpp
@@ -133,10 +133,19 @@
     plan.wait = state.settings.long_poll;
 }
 
+/*! @brief Checks whether a source was current after the start. It then has every version that this node held
+ * before its restart; a parent that was current a little earlier may lack the last one. */
+bool current_since_start(const source_state& state)
+{
+    const auto watched = std::any_of(state.watches.begin(), state.watches.end(), [&](const auto& entry) {
+        return entry.second.open && entry.second.current && *entry.second.current >= state.started;
+    });
+    return state.log_answered.has_value() || watched;
+}
+
 void advance_phase(source_state& state, source_plan& plan, timestamp now)
 {
-    const auto current = is_current(state.log_answered, state, now) || any_watch_current(state, now);
-    if (state.phase != start_phase::following && current) {
+    if (state.phase != start_phase::following && current_since_start(state)) {
         state.phase = start_phase::following;
     }
     if (state.phase == start_phase::log && now - state.started > state.settings.start_log_limit) {
--- a/tests/distribution/service.cpp
+++ b/tests/distribution/service.cpp
@@ -311,6 +311,28 @@
     }));
 }
 
+// Guards against a parent that is overrun by reconnecting children, and against children that never get in.
+TEST_F(distribution_service_test, parent_redirects_children_beyond_its_rate_and_serves_them_later)
+{
+    auto settings = quick_settings();
+    settings.parent.streams_per_second = 2.0;
+    settings.parent.stream_burst = 1.0;
+    this->start(5, settings);
+    ASSERT_TRUE(this->settled(2));
+    std::uint64_t redirected = 0;
+    for (const auto& node : this->nodes) {
+        redirected += node->service->status().redirected;
+    }
+    EXPECT_GT(redirected, 0U);
+    EXPECT_TRUE(wait_for(milliseconds{8'000}, [&] {
+        std::size_t children = 0;
+        for (const auto& node : this->nodes) {
+            children += node->service->status().children;
+        }
+        return children == 6;
+    }));
+}
+
 // Guards against a baseline for measurements that does not work.
 TEST_F(distribution_service_test, every_node_reads_the_log_in_mode_log_poll)
 {
--- a/tests/distribution/sources.cpp
+++ b/tests/distribution/sources.cpp
@@ -190,14 +190,18 @@
     EXPECT_GE(this->now - start, this->settings.start_log_limit + this->settings.start_peer_limit);
 }
 
-// Guards against a stale parent that ends the start of a node.
-TEST_F(sources_test, start_is_not_ended_by_a_parent_that_is_not_current)
+// Guards against a stale parent that takes a restarted node back behind the version that it held.
+TEST_F(sources_test, start_is_ended_only_by_a_parent_that_was_current_after_it)
 {
     this->state = make_source_state(this->settings, this->now, this->rng);
     (void)this->plan();
     this->heartbeat("r1", milliseconds{60'000});
     EXPECT_FALSE(this->plan().started);
-    this->heartbeat("r2", milliseconds{100});
+    this->now += milliseconds{1'000};
+    // Current a second before the start: the node may have held a later version.
+    this->heartbeat("r2", milliseconds{2'000});
+    EXPECT_FALSE(this->plan().started);
+    this->heartbeat("r2", milliseconds{500});
     EXPECT_TRUE(this->plan().started);
 }
 
