--- a/tests/distribution/service.cpp
+++ b/tests/distribution/service.cpp
@@ -311,6 +311,51 @@
     }));
 }
 
+// Guards against a parent that is overrun by reconnecting children, and against children that never get in.
+TEST_F(distribution_service_test, parent_redirects_children_beyond_its_rate_and_serves_them_later)
+{
+    auto settings = quick_settings();
+    settings.parent.streams_per_second = 2.0;
+    settings.parent.stream_burst = 1.0;
+    this->start(5, settings);
+    ASSERT_TRUE(this->settled(2));
+    std::uint64_t redirected = 0;
+    for (const auto& node : this->nodes) {
+        redirected += node->service->status().redirected;
+    }
+    EXPECT_GT(redirected, 0U);
+    EXPECT_TRUE(wait_for(milliseconds{8'000}, [&] {
+        std::size_t children = 0;
+        for (const auto& node : this->nodes) {
+            children += node->service->status().children;
+        }
+        return children == 6;
+    }));
+}
+
+// Guards against a history that new nodes cannot recover once its records have expired.
+TEST_F(distribution_service_test, live_nodes_write_a_checkpoint_from_which_a_new_data_centre_recovers)
+{
+    this->start(6);
+    this->stop(5);
+    ASSERT_TRUE(this->all_have(this->publish(1), milliseconds{5'000}));
+    ASSERT_TRUE(this->all_have(this->publish(2), milliseconds{5'000}));
+    ASSERT_TRUE(this->settled(2));
+    this->log.control(R"({"retention_records":1})");
+    const auto version = this->publish(3);
+    const auto written = [&] {
+        return std::any_of(this->nodes.begin(), this->nodes.end(),
+                           [](const auto& node) { return node && node->service->status().checkpoints > 0; });
+    };
+    ASSERT_TRUE(wait_for(milliseconds{5'000}, written));
+    // Without any peer, so that the log is the only source.
+    for (std::size_t index = 0; index < 5; ++index) {
+        this->stop(index);
+    }
+    this->start_node(5);
+    EXPECT_TRUE(wait_for(milliseconds{5'000}, [&] { return this->nodes[5]->version == version; }));
+}
+
 // Guards against a baseline for measurements that does not work.
 TEST_F(distribution_service_test, every_node_reads_the_log_in_mode_log_poll)
 {
