Mark idle connections with a flag instead of a second set

The tests for a single run after the first byte now wait before they count: the caller sees the cut answer before a wrong second attempt would have run.

--- a/src/proxy/listener.cpp
+++ b/src/proxy/listener.cpp
@@ -3,8 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <condition_variable>
+#include <map>
 #include <mutex>
-#include <set>
+
 #include <utility>
 
 #include <Poco/Net/NetException.h>
@@ -46,8 +47,7 @@
     [[nodiscard]] bool add(channel& io)
     {
         const std::lock_guard lock{this->mutex};
-        this->open.insert(&io);
-        this->idle.insert(&io);
+        this->open.emplace(&io, true);
         if (this->stopping) {
             io.shutdown();
         }
@@ -58,21 +58,20 @@
     {
         const std::lock_guard lock{this->mutex};
         this->open.erase(&io);
-        this->idle.erase(&io);
         this->changed.notify_all();
     }
 
     void set_busy(channel& io)
     {
         const std::lock_guard lock{this->mutex};
-        this->idle.erase(&io);
+        this->open[&io] = false;
     }
 
     // Returns false if the connection is to be closed.
     [[nodiscard]] bool set_idle(channel& io)
     {
         const std::lock_guard lock{this->mutex};
-        this->idle.insert(&io);
+        this->open[&io] = true;
         return !this->stopping;
     }
 
@@ -80,15 +79,17 @@
     {
         const std::lock_guard lock{this->mutex};
         this->stopping = true;
-        for (auto* io : this->idle) {
-            io->shutdown();
+        for (const auto& [io, is_idle] : this->open) {
+            if (is_idle) {
+                io->shutdown();
+            }
         }
     }
 
     void cut()
     {
         const std::lock_guard lock{this->mutex};
-        for (auto* io : this->open) {
+        for (const auto& [io, is_idle] : this->open) {
             io->shutdown();
         }
     }
@@ -112,8 +113,8 @@
 private:
     mutable std::mutex mutex{};
     std::condition_variable changed{};
-    std::set<channel*> open{};
-    std::set<channel*> idle{};
+    // The value is true while the connection waits for a request.
+    std::map<channel*, bool> open{};
     bool stopping{};
 };
 
--- a/tests/proxy/failures.cpp
+++ b/tests/proxy/failures.cpp
@@ -157,6 +157,7 @@
     const auto answer = this->call("x");
     EXPECT_FALSE(answer.complete);
     EXPECT_LT(steady_now() - started, milliseconds{600});
+    std::this_thread::sleep_for(milliseconds{150});
     EXPECT_EQ(this->target.runs("x"), 1U);
 }
 
@@ -167,6 +168,8 @@
     this->start_with_target();
     this->target.behave(behaviour::cut_length_body);
     EXPECT_FALSE(this->call("x").complete);
+    // The caller sees the cut before a wrong second attempt would run.
+    std::this_thread::sleep_for(milliseconds{150});
     EXPECT_EQ(this->target.runs("x"), 1U);
 }
 
