Test the proxy with the target and load programs as processes

Checked with four runs: ledger equal to the load, exit code and verdict of a crash, SIGTERM during a request, and shed load reported as not run.

--- /dev/null
+++ b/tests/proxy/processes.cpp
@@ -0,0 +1,158 @@
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <sstream>
+#include <thread>
+
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/Pipe.h>
+#include <Poco/PipeStream.h>
+#include <Poco/Process.h>
+
+#include "proxy/mesh.hpp"
+
+namespace kumquatdrift {
+namespace {
+
+/*! @brief A test program with its standard output. */
+class program {
+public:
+    program(const std::string& name, const Poco::Process::Args& arguments)
+        : handle{Poco::Process::launch(std::string{KUMQUATDRIFT_BIN_DIR "/"} + name, arguments, nullptr,
+                                       &pipe, nullptr)},
+          output{pipe}
+    {
+    }
+    program(const program&) = delete;
+    program& operator=(const program&) = delete;
+    ~program()
+    {
+        if (!this->waited) {
+            Poco::Process::kill(this->handle);
+            this->wait();
+        }
+    }
+
+    [[nodiscard]] std::string line()
+    {
+        std::string text;
+        std::getline(this->output, text);
+        return text;
+    }
+    void terminate() const
+    {
+        Poco::Process::requestTermination(this->handle.id());
+    }
+    int wait()
+    {
+        this->waited = true;
+        return this->handle.wait();
+    }
+
+private:
+    Poco::Pipe pipe{};
+    Poco::ProcessHandle handle;
+    Poco::PipeInputStream output;
+    bool waited{};
+};
+
+class test_programs : public mesh_test {
+protected:
+    [[nodiscard]] static std::string listening_address(program& server)
+    {
+        const auto text = server.line();
+        return text.substr(text.rfind(' ') + 1);
+    }
+
+    [[nodiscard]] static std::uint16_t port_of(const std::string& address)
+    {
+        return static_cast<std::uint16_t>(std::stoul(address.substr(address.rfind(':') + 1)));
+    }
+
+    [[nodiscard]] static Poco::JSON::Object::Ptr parse(const std::string& text)
+    {
+        return Poco::JSON::Parser{}.parse(text).extract<Poco::JSON::Object::Ptr>();
+    }
+};
+
+// Guards against load results and ledgers that disagree, and against requests that run twice or not at all.
+TEST_F(test_programs, load_through_both_nodes_runs_each_request_once)
+{
+    program server{"target_server", {"--slots", "10"}};
+    const auto address = listening_address(server);
+    this->start();
+    this->add_target(this->peer, "t", address);
+    this->publish();
+    const auto caller = "127.0.0.1:" + std::to_string(this->entry.proxy->ports().caller);
+    program load{"load_generator",
+                 {caller, "--rate", "200", "--duration-ms", "1000", "--connections", "4", "--method", "POST",
+                  "--body-bytes", "100", "--path", "/echo"}};
+    const auto result = parse(load.line());
+    EXPECT_EQ(load.wait(), 0);
+    EXPECT_EQ(result->getValue<int>("sent"), 200);
+    EXPECT_EQ(result->getValue<int>("ok"), 200);
+    raw_client client{port_of(address)};
+    client.send("GET /ledger HTTP/1.1\r\nHost: h\r\n\r\n");
+    const auto ledger = parse(client.receive().body);
+    EXPECT_EQ(ledger->size(), 200U);
+    for (const auto& name : ledger->getNames()) {
+        EXPECT_EQ(ledger->getValue<int>(name), 1) << name;
+    }
+}
+
+// Guards against a crash that is reported as not run.
+TEST_F(test_programs, crash_of_the_target_process_may_have_run)
+{
+    program server{"target_server", {}};
+    this->start();
+    this->add_target(this->peer, "t", listening_address(server));
+    this->publish();
+    const auto answer = this->call("x", "body", "x-crash: 1\r\n");
+    EXPECT_EQ(answer.status, 502U);
+    EXPECT_EQ(answer.verdict(), "may_have_run");
+    EXPECT_EQ(server.wait(), 70);
+    const auto after = this->call("y", "other");
+    EXPECT_EQ(after.status, 502U);
+    EXPECT_EQ(after.verdict(), "not_run");
+}
+
+// Guards against a target process that cuts a request at SIGTERM.
+TEST_F(test_programs, target_process_finishes_requests_at_sigterm)
+{
+    program server{"target_server", {"--drain-notice-ms", "50"}};
+    this->start();
+    this->add_target(this->peer, "t", listening_address(server));
+    this->publish();
+    client_answer slow;
+    std::thread caller{[this, &slow] {
+        raw_client client{this->entry.proxy->ports().caller};
+        client.send("GET /slow?ms=500 HTTP/1.1\r\nHost: h\r\n\r\n");
+        slow = client.receive();
+    }};
+    std::this_thread::sleep_for(milliseconds{150});
+    server.terminate();
+    EXPECT_EQ(server.wait(), 0);
+    caller.join();
+    EXPECT_EQ(slow.status, 200U) << slow.head;
+    EXPECT_TRUE(slow.complete);
+}
+
+// Guards against a target that sheds load and is then reported as possibly run.
+TEST_F(test_programs, shed_load_is_not_run)
+{
+    program server{"target_server", {"--slots", "1", "--work-ms", "300"}};
+    this->route.retry.max_attempts = 1;
+    this->start();
+    this->add_target(this->peer, "t", listening_address(server), 5);
+    this->publish();
+    std::thread first{[this] { EXPECT_EQ(this->call("1").status, 200U); }};
+    std::this_thread::sleep_for(milliseconds{100});
+    const auto answer = this->call("2");
+    first.join();
+    EXPECT_EQ(answer.status, 503U);
+    EXPECT_EQ(answer.verdict(), "not_run");
+}
+
+} // namespace
+} // namespace kumquatdrift
