--- a/src/node/admin_api.cpp
+++ b/src/node/admin_api.cpp
@@ -230,6 +230,7 @@
     Object::Ptr object{new Object};
     object->set("node", status.view->self);
     object->set("version", status.in_force);
+    object->set("in_force_since_us", status.in_force_since_us);
     object->set("ready", judgement.ready);
     object->set("conditions", condition_array(judgement));
     object->set("source", std::string{to_name(status.distribution.source)});
--- a/src/node/admin_api.hpp
+++ b/src/node/admin_api.hpp
@@ -33,6 +33,8 @@
     member_view_ptr view{};
     /*! @brief Version of the routing snapshot that serves requests, 0 for none. */
     config_version in_force{};
+    /*! @brief Wall clock in microseconds since the epoch at which that version came in force. */
+    std::uint64_t in_force_since_us{};
     /*! @brief State of the distribution. */
     distribution_status distribution{};
     /*! @brief Wall clock in microseconds since the epoch. */
--- a/src/node/service.cpp
+++ b/src/node/service.cpp
@@ -70,6 +70,7 @@
 
     daemon_settings settings;
     std::atomic<bool> draining{};
+    std::atomic<std::uint64_t> in_force_since_us{};
     log_port log{};
     metrics_registry metrics{};
     std::shared_ptr<ring_tracer> tracer{};
@@ -109,9 +110,12 @@
     }
     this->membership = std::move(*members);
     const auto view = [this] { return this->membership->view(); };
-    this->routing = std::make_unique<internal::routing_loop>(internal::routing_loop::environment{
-        view, [this] { this->membership->synchronise_soon(); },
-        [this](config_version version) { this->membership->set_version(version); }});
+    this->routing = std::make_unique<internal::routing_loop>(
+        internal::routing_loop::environment{view, [this] { this->membership->synchronise_soon(); },
+                                            [this](config_version version) {
+                                                this->in_force_since_us = internal::epoch_now_us();
+                                                this->membership->set_version(version);
+                                            }});
     auto claiming = claim_service::create(this->log, this->settings.node, view);
     if (!claiming) {
         return claiming.last_reason();
@@ -215,8 +219,8 @@
 
 internal::node_status node_service::implementation::status() const
 {
-    return {this->membership->view(), this->in_force(), this->distribution->status(),
-            internal::epoch_now_us(), this->draining.load()};
+    return {this->membership->view(),     this->in_force(),         this->in_force_since_us.load(),
+            this->distribution->status(), internal::epoch_now_us(), this->draining.load()};
 }
 
 void node_service::implementation::publish_targets(const std::vector<target_record>& targets)
