--- a/include/kumquatdrift/config/version_gate.hpp
+++ b/include/kumquatdrift/config/version_gate.hpp
@@ -8,7 +8,7 @@
 
 namespace kumquatdrift {
 
-/*! @brief Holds the version in force. Written by one thread, read by any. */
+/*! @brief Holds the version in force, which only grows. Safe for many threads. */
 class version_gate {
 public:
     /**
--- a/tests/config/recovery.cpp
+++ b/tests/config/recovery.cpp
@@ -1,5 +1,10 @@
 #include <kumquatdrift/config/recovery.hpp>
 
+#include <atomic>
+#include <latch>
+#include <thread>
+#include <vector>
+
 #include <kumquatdrift/config/records.hpp>
 #include <kumquatdrift/config/version_gate.hpp>
 
@@ -182,6 +187,33 @@
     EXPECT_EQ(this->gate.in_force(), 6U);
 }
 
+// Guards against a lower version displacing a higher one when two threads install at the same moment.
+TEST_F(config_version_gate, concurrent_installs_never_lower_the_version)
+{
+    constexpr int installs = 100'000;
+    constexpr config_version writer_count = 4;
+    std::latch start{writer_count};
+    std::atomic<int> lowered{0};
+    std::vector<std::thread> writers;
+    writers.reserve(writer_count);
+    for (config_version step = 1; step <= writer_count; ++step) {
+        writers.emplace_back([this, step, &start, &lowered] {
+            start.arrive_and_wait();
+            config_version seen = 0;
+            for (int number = 0; number < installs; ++number) {
+                const auto held = this->gate.in_force();
+                lowered += held < seen ? 1 : 0;
+                const auto installed = this->gate.install(held + step);
+                seen = installed ? held + step : held;
+            }
+        });
+    }
+    for (auto& writer : writers) {
+        writer.join();
+    }
+    EXPECT_EQ(lowered, 0);
+}
+
 // Guards against a restarted node that serves an older version than before its restart.
 TEST_F(config_version_gate, version_below_the_floor_is_rejected)
 {
