--- a/include/kumquatdrift/config/records.hpp
+++ b/include/kumquatdrift/config/records.hpp
@@ -40,13 +40,6 @@
  */
 [[nodiscard]] std::string make_edit_record(const edit_record& edit);
 
-/**
- * @brief Decodes an edit.
- * @param payload Payload of a log record.
- * @return The edit, or why the payload is not an edit of a supported format.
- */
-[[nodiscard]] result<edit_record> load_edit(std::string_view payload);
-
 /**
  * @brief Encodes a checkpoint that covers all records below `state.next_offset`. Also the form in which a
  * state is sent to other nodes.
--- a/src/config/records.cpp
+++ b/src/config/records.cpp
@@ -71,18 +71,6 @@
     return to_text(record);
 }
 
-result<edit_record> load_edit(std::string_view payload)
-{
-    auto envelope = open_record(payload);
-    if (envelope.kind == record_kind::edit) {
-        return decode_edit(envelope.object);
-    }
-    if (envelope.kind == record_kind::checkpoint) {
-        return failure{"the record is a checkpoint"};
-    }
-    return failure{std::move(envelope.reason)};
-}
-
 std::string make_checkpoint_record(const config_state& state)
 {
     auto stored = encode_state(state);
--- a/src/log/read_retained.cpp
+++ b/src/log/read_retained.cpp
@@ -1,5 +1,6 @@
 #include <kumquatdrift/log/read_retained.hpp>
 
+#include <cstdint>
 #include <iterator>
 #include <optional>
 #include <utility>
