Count attempts that bring no answer and limit their log lines to one a second

Two tests were too weak to fail without their mechanism: the early refusal fitted into the socket buffers (now 32 MB), and the drain of the entry node was covered by the drain of the peer (now one after the other).

--- a/src/proxy/caller_path.cpp
+++ b/src/proxy/caller_path.cpp
@@ -37,7 +37,7 @@
                                                                            settings.pool.connect_timeout,
                                                                            settings.pool.idle_time},
                                                                           answer_buffer_bytes)},
-      metrics{*rest_of_node.metrics, "caller"},
+      metrics{*rest_of_node.metrics, "caller"}, failures{*rest_of_node.metrics},
       // A restarted node must not reuse the attempt ids of its earlier process.
       attempt_prefix{settings.node + '-' + to_hex(std::random_device{}()) + '-'}
 {
--- a/src/proxy/caller_path.hpp
+++ b/src/proxy/caller_path.hpp
@@ -43,6 +43,8 @@
     const std::atomic<bool>& draining;
     std::shared_ptr<connection_pool> nodes;
     metrics_by_route metrics;
+    failure_metrics failures;
+    log_limit node_log{};
     entry_state state{};
     std::string attempt_prefix;
     std::atomic<std::uint64_t> next_attempt{1};
--- a/src/proxy/caller_request.cpp
+++ b/src/proxy/caller_request.cpp
@@ -209,9 +209,12 @@
 void caller_request::note(const endpoint& chosen, const attempt& current)
 {
     const auto& observation = current.observation;
+    this->entry.failures.note(observation.end);
     if (has_node_failed(observation)) {
-        part_logger{log_part::proxy}.write(log_level::warn, "node " + chosen.node + ": " +
-                                                                std::string{to_name(observation.end)});
+        if (this->entry.node_log.allow()) {
+            part_logger{log_part::proxy}.write(log_level::warn, "node " + chosen.node + ": " +
+                                                                    std::string{to_name(observation.end)});
+        }
         this->entry.state.on_node_failed(chosen);
         if (this->entry.dependencies.on_node_failed) {
             this->entry.dependencies.on_node_failed(chosen.node);
--- a/src/proxy/observe.cpp
+++ b/src/proxy/observe.cpp
@@ -7,6 +7,30 @@
 
 namespace kumquatdrift::internal {
 
+bool log_limit::allow() noexcept
+{
+    constexpr std::int64_t interval_us = 1'000'000;
+    const auto now = steady_now().time_since_epoch().count();
+    auto next = this->next_us.load();
+    return now >= next && this->next_us.compare_exchange_strong(next, now + interval_us);
+}
+
+failure_metrics::failure_metrics(metrics_registry& registry)
+{
+    for (const auto& [end, name] : enum_names<hop_end>::table) {
+        this->by_end.at(static_cast<std::size_t>(end)) = &registry.counter_of(
+            "kumquatdrift_proxy_failed_attempts_total",
+            "Attempts without an answer, by the way in which they ended.", {{"end", std::string{name}}});
+    }
+}
+
+void failure_metrics::note(hop_end end) noexcept
+{
+    if (end != hop_end::answered) {
+        this->by_end[static_cast<std::size_t>(end)]->add();
+    }
+}
+
 metrics_by_route::metrics_by_route(metrics_registry& registry, std::string listener)
     : all{registry}, label{std::move(listener)}
 {
--- a/src/proxy/observe.hpp
+++ b/src/proxy/observe.hpp
@@ -13,6 +13,7 @@
 
 #include <kumquatdrift/telemetry/metrics.hpp>
 #include <kumquatdrift/telemetry/trace.hpp>
+#include <kumquatdrift/traffic/verdicts.hpp>
 
 namespace kumquatdrift::internal {
 
@@ -28,6 +29,17 @@
     latency_histogram* latency{};
 };
 
+/*! @brief Lets one log line per second through, so that an outage does not flood the log. Safe for any
+ * thread. */
+class log_limit {
+public:
+    /*! @brief Checks whether a line may be written now. @return True at most once a second. */
+    [[nodiscard]] bool allow() noexcept;
+
+private:
+    std::atomic<std::int64_t> next_us{};
+};
+
 /*! @brief Counters of all routes at one listener. Safe for any thread. */
 class metrics_by_route {
 public:
@@ -83,6 +95,25 @@
     std::uint32_t present;
 };
 
+/*! @brief Counters of attempts that brought no answer, by the way in which they ended. */
+class failure_metrics {
+public:
+    /**
+     * @brief Registers the counters.
+     * @param registry Registry; outlives this.
+     */
+    explicit failure_metrics(metrics_registry& registry);
+
+    /**
+     * @brief Counts an attempt if it brought no answer.
+     * @param end How it ended.
+     */
+    void note(hop_end end) noexcept;
+
+private:
+    std::array<counter*, enum_names<hop_end>::table.size()> by_end{};
+};
+
 /*! @brief Span of one hop. Works without a tracer too, then it only derives ids. */
 class hop_span {
 public:
--- a/src/proxy/target_host.cpp
+++ b/src/proxy/target_host.cpp
@@ -280,8 +280,10 @@
             const std::lock_guard lock{this->quarantine_mutex};
             this->quarantine.on_target_died(in_flight, this->key_of(gate), steady_now());
         }
-        part_logger{log_part::proxy}.write(log_level::warn, "target " + gate.target().id +
-                                                                " broke a connection with a request on it");
+        if (this->crash_log.allow()) {
+            part_logger{log_part::proxy}.write(
+                log_level::warn, "target " + gate.target().id + " broke a connection with a request on it");
+        }
         this->publish(in_flight);
         return;
     }
--- a/src/proxy/target_host.hpp
+++ b/src/proxy/target_host.hpp
@@ -15,6 +15,7 @@
 #include <kumquatdrift/proxy/service.hpp>
 #include <kumquatdrift/traffic/quarantine.hpp>
 
+#include "proxy/observe.hpp"
 #include "proxy/outbound.hpp"
 #include "proxy/target_gate.hpp"
 
@@ -144,6 +145,7 @@
     std::map<std::string, gate_entry, std::less<>> gates{};
     mutable std::mutex quarantine_mutex{};
     crash_quarantine quarantine{};
+    log_limit crash_log{};
 };
 
 /**
--- a/tests/proxy/flows.cpp
+++ b/tests/proxy/flows.cpp
@@ -104,10 +104,11 @@
     client_answer answer;
     auto upload = this->slow_upload(answer, body);
     std::this_thread::sleep_for(milliseconds{200});
-    this->peer.proxy->drain();
+    // One after the other: each node has to refuse by itself.
     this->entry.proxy->drain();
     EXPECT_EQ(this->entry.proxy->in_flight(), 1U);
     const auto refused = this->call("new");
+    this->peer.proxy->drain();
     EXPECT_EQ(refused.status, 503U);
     EXPECT_EQ(refused.verdict(), "not_run");
     EXPECT_FALSE(refused.field("retry-after").empty());
@@ -160,7 +161,8 @@
     this->route.retry.max_attempts = 1;
     this->start_with_target();
     this->target.behave(behaviour::refuse_early);
-    const auto answer = this->call("up", pattern(2 * megabyte));
+    // More than the socket buffers hold, so that the upload cannot end before the refusal is noticed.
+    const auto answer = this->call("up", pattern(32 * megabyte));
     EXPECT_EQ(answer.status, 429U);
     EXPECT_EQ(answer.verdict(), "not_run");
 }
