Delay the first exchange by up to a second; sharpen three membership tests

All nodes that start together know only their seed at first and exchanged with it at once.

Removing mechanisms showed that three tests passed without them: the split test healed through the seed instead of the probes of dead members, the version floor came back from a remote seed instead of the relays, and nothing tested indirect probes.

--- a/src/membership/datagram.cpp
+++ b/src/membership/datagram.cpp
@@ -12,6 +12,7 @@
 namespace internal {
 namespace {
 
+constexpr milliseconds first_exchange_delay{1'000};
 constexpr std::size_t max_relayed_probes = 64;
 constexpr int max_heartbeats = static_cast<int>(max_sites);
 
@@ -143,7 +144,8 @@
     const bool alone = state.members.size() == 1;
     const bool claimed = internal::apply_changes(state, decoded->changes(), now);
     if (alone && state.members.size() > 1) {
-        state.next_exchange = now;
+        // Nodes that start together mostly know only their seed at first; it must not serve all of them.
+        state.next_exchange = now + full_jitter(rng, internal::first_exchange_delay);
     }
     const auto* sender = internal::find_identity(state, decoded->sender());
     if (sender != nullptr) {
--- a/tests/membership/detection.cpp
+++ b/tests/membership/detection.cpp
@@ -35,6 +35,20 @@
     }
 }
 
+// Guards against a suspicion that only says that one link is broken.
+TEST_F(detection, broken_link_between_two_members_is_bridged_by_indirect_probes)
+{
+    this->add(6, "olinda");
+    ASSERT_TRUE(this->settle(join_time));
+    this->mesh.blocked = [this](const pump_node& from, const pump_node& to) {
+        const auto* first = this->mesh.nodes.data();
+        return (&from == first && &to == first + 1) || (&from == first + 1 && &to == first);
+    };
+    this->run(milliseconds{60'000});
+    EXPECT_EQ(this->mesh.nodes[0].state.counters.suspicions, 0U);
+    EXPECT_EQ(this->mesh.nodes[1].state.counters.suspicions, 0U);
+}
+
 // Guards against members that disagree on a false claim: the member refutes it with a higher sequence.
 TEST_F(detection, false_suspicion_is_refuted_by_a_higher_sequence)
 {
--- a/tests/membership/partition.cpp
+++ b/tests/membership/partition.cpp
@@ -83,6 +83,8 @@
     EXPECT_TRUE(this->across(10, 10, 0, 10, member_status::dead));
     for (auto& node : this->mesh.nodes) {
         node.side = 0;
+        // Without contacts, only the probes of dead members can find the other half.
+        node.state.contacts.clear();
     }
     EXPECT_TRUE(this->settle(milliseconds{45'000}));
 }
@@ -133,8 +135,10 @@
     ASSERT_TRUE(this->settle(join_time));
     for (std::size_t index = 6; index < 12; ++index) {
         this->mesh.restart(index);
+        // Contacts in the own data centre only; a remote seed would tell each node on its own.
+        this->mesh.nodes[index].state.contacts = {{"10.0.0.1", 7}, {"10.0.0.1", 8}};
     }
-    this->run(milliseconds{30'000});
+    this->run(milliseconds{60'000});
     for (std::size_t index = 6; index < 12; ++index) {
         EXPECT_EQ(this->mesh.nodes[index].state.version_floor, 41U) << index;
     }
--- a/tests/membership/records.cpp
+++ b/tests/membership/records.cpp
@@ -82,6 +82,7 @@
     const auto record = this->seen(0, 2)->record;
     this->mesh.nodes[2].running = false;
     this->run(milliseconds{300'000});
+    ASSERT_NE(this->seen(0, 2), nullptr);
     ASSERT_EQ(this->seen(0, 2)->status, member_status::dead);
     EXPECT_EQ(merge_records(this->state(0), {record}, this->mesh.now), 0U);
     EXPECT_EQ(this->seen(0, 2)->status, member_status::dead);
