Put versions that name no new service in force at once

Cause: convergence of an edit was p50 0.37 s and p99 0.71 s with 12 nodes, although the record itself arrives within milliseconds: each version stayed pending until a digest exchange had ended, which membership starts within half a second. The exchange is needed only for a service of which the node may not have heard; the view is kept up to date for all services of the version in force. Ruled out: the streams (records arrive in the same millisecond in the logs of all nodes) and a shorter delay of the exchange, which costs a digest exchange of every node for each edit.

The holder puts such a version in force when it is offered, and the node asks for an exchange only if a version is pending.

--- a/include/kumquatdrift/routing/holder.hpp
+++ b/include/kumquatdrift/routing/holder.hpp
@@ -18,9 +18,10 @@
 /**
  * @brief Publishes routing snapshots whose version never goes down.
  *
- * A new version stays pending until the member view has been synchronised after its arrival. The wait is
- * bounded, because a node that reaches no other node never synchronises. Any thread may call `current`; one
- * thread calls all other members.
+ * A version that names a service which the version in force lacks stays pending until the member view has
+ * been synchronised after its arrival; any other comes in force at once. The wait is bounded, because a node
+ * that reaches no other node never synchronises. Any thread may call `current`; one thread calls all other
+ * members.
  */
 class snapshot_holder {
 public:
--- a/src/node/routing_loop.cpp
+++ b/src/node/routing_loop.cpp
@@ -64,8 +64,10 @@
         const auto now = steady_now();
         this->holder.offer_view(this->parts.view(), now);
         if (next && *next) {
-            this->parts.synchronise();
             this->holder.offer_config(*next, now);
+            if (this->holder.pending_version() != 0) {
+                this->parts.synchronise();
+            }
             if (!this->holder.last_reason().empty()) {
                 logger().write(log_level::warn, "version " + std::to_string((*next)->version) +
                                                     " is not used: " + this->holder.last_reason());
--- a/src/routing/holder.cpp
+++ b/src/routing/holder.cpp
@@ -11,6 +11,15 @@
 // of the one before it.
 constexpr std::size_t max_pending = 8;
 
+/*! @brief Checks whether the view has been kept up to date for every service that a configuration names. */
+bool names_only_services_of(const effective_config& config,
+                            const std::shared_ptr<const effective_config>& known)
+{
+    return known &&
+           std::all_of(config.services.begin(), config.services.end(),
+                       [&known](const auto& service) { return known->services.contains(service.first); });
+}
+
 } // namespace
 
 snapshot_holder::snapshot_holder(microseconds wait) noexcept : longest_wait{wait}
@@ -37,6 +46,10 @@
     if (!trial) {
         return false;
     }
+    if (names_only_services_of(*config, this->in_force)) {
+        this->pending.clear();
+        return this->publish(config);
+    }
     const auto synchronisations = this->view ? this->view->synchronisations : 0;
     if (this->pending.size() < max_pending) {
         this->pending.push_back({std::move(config), synchronisations, now + this->longest_wait});
--- a/tests/routing/holder.cpp
+++ b/tests/routing/holder.cpp
@@ -50,6 +50,29 @@
     EXPECT_EQ(this->in_force(), 10U);
 }
 
+// Guards against a delay of each edit by a digest exchange, when the node already knows all services.
+TEST_F(holder, version_without_new_service_comes_in_force_at_once)
+{
+    this->offer(10, {"balcao", "atelier"});
+    this->show(1, 1);
+    ASSERT_EQ(this->in_force(), 10U);
+    EXPECT_TRUE(this->offer(11, {"balcao"}));
+    EXPECT_EQ(this->in_force(), 11U);
+}
+
+// Guards against a service that was known once, and of which the view may have become stale, after its
+// removal.
+TEST_F(holder, service_that_returns_after_its_removal_waits_for_the_view)
+{
+    this->offer(10, {"balcao", "atelier"});
+    this->show(1, 1);
+    this->offer(11, {"balcao"});
+    EXPECT_FALSE(this->offer(12, {"balcao", "atelier"}));
+    EXPECT_EQ(this->in_force(), 11U);
+    EXPECT_TRUE(this->show(1, 2));
+    EXPECT_EQ(this->in_force(), 12U);
+}
+
 // Guards against a node without peers that never puts a version in force.
 TEST_F(holder, wait_of_a_lone_node_is_bounded)
 {
