Fix a use of an empty optional in the fuzz program of the fold

RC_ASSERT overloads the operators in its argument, so that !a || b evaluates b in any case, and the comparison read the state of a reader that could not recover.

--- a/tests/fuzz/config_fold.cpp
+++ b/tests/fuzz/config_fold.cpp
@@ -150,7 +150,10 @@
         auto& node = this->readers.front();
         this->crash(node);
         this->read(node, {action::read, 0, 0, 0});
-        RC_ASSERT(!node.state || *node.state == this->live);
+        // Not one expression, because RC_ASSERT evaluates both sides of its operators.
+        if (node.state) {
+            RC_ASSERT(*node.state == this->live);
+        }
     }
 
     /*! @brief Returns the number of records folded, recovered states included. */
@@ -347,7 +350,9 @@
     {
         const auto& state = *node.state;
         RC_ASSERT(state.version == this->versions[state.next_offset]);
-        RC_ASSERT(state.next_offset != this->live.next_offset || state == this->live);
+        if (state.next_offset == this->live.next_offset) {
+            RC_ASSERT(state == this->live);
+        }
         const auto held = node.gate->in_force();
         const auto installed = node.gate->install(state.version);
         RC_ASSERT(installed.has_value() == (state.version > held && state.version >= node.floor));
