--- a/tests/membership/detection.cpp
+++ b/tests/membership/detection.cpp
@@ -111,6 +111,17 @@
 
 INSTANTIATE_TEST_SUITE_P(loss, drain, testing::Values(0U, 5U));
 
+// Guards against new targets that wait long for their first request; probes alone need a second per step.
+TEST_F(detection, ready_target_is_known_to_the_data_centre_within_three_seconds)
+{
+    this->add(100, "olinda");
+    ASSERT_TRUE(this->settle(join_time));
+    this->run(join_time);
+    this->mesh.publish(3, [](auto& content) { ++content.targets[0].slots; });
+    EXPECT_TRUE(
+        this->mesh.run(milliseconds{3'000}, [this] { return this->all_see(3, member_status::alive); }));
+}
+
 // Guards against the old record of a crashed process taking precedence over that of its successor.
 TEST_F(detection, restarted_process_replaces_its_earlier_record)
 {
--- a/tests/membership/partition.cpp
+++ b/tests/membership/partition.cpp
@@ -89,6 +89,21 @@
     EXPECT_TRUE(this->settle(milliseconds{45'000}));
 }
 
+// Guards against changes that cross to other data centres only with the slower digest exchange.
+TEST_F(partition, ready_target_is_known_to_other_data_centres_within_five_seconds)
+{
+    this->add(10, "alfama");
+    this->add(10, "belem");
+    this->add(10, "graca");
+    ASSERT_TRUE(this->settle(join_time));
+    for (std::size_t index = 1; index < 30; index += 4) {
+        this->run(milliseconds{10'000});
+        this->mesh.publish(index, [](auto& content) { ++content.targets[0].slots; });
+        EXPECT_TRUE(
+            this->mesh.run(milliseconds{5'000}, [&] { return this->all_see(index, member_status::alive); }));
+    }
+}
+
 // Guards against a crash during a cut that the other side never learns of.
 TEST_F(partition, changes_during_a_cut_reach_the_other_side_after_it)
 {
--- a/tests/membership/records.cpp
+++ b/tests/membership/records.cpp
@@ -91,6 +91,18 @@
     EXPECT_EQ(this->seen(1, 2), nullptr);
 }
 
+// Guards against dead members that pass for ever between nodes that remove them at different times.
+TEST_F(records, dead_member_is_not_introduced_to_a_new_node)
+{
+    this->mesh.nodes[2].running = false;
+    this->run(milliseconds{15'000});
+    ASSERT_EQ(this->seen(0, 2)->status, member_status::dead);
+    this->mesh.add("olinda");
+    this->run(milliseconds{60'000});
+    EXPECT_NE(this->seen(3, 0), nullptr);
+    EXPECT_EQ(this->seen(3, 2), nullptr);
+}
+
 // Guards against a restarted node that becomes ready below the version it held before.
 TEST_F(records, version_of_the_earlier_process_becomes_the_version_floor)
 {
