Decide on a checkpoint only between two reads of the log

The append of a checkpoint waited behind a long poll and was written although the poll returned the checkpoint of another node. Polls now also end when a checkpoint is due.

--- a/src/distribution/engine.cpp
+++ b/src/distribution/engine.cpp
@@ -81,6 +81,7 @@
     this->refresh_candidates(*view);
     const auto plan = plan_sources(this->sources, this->candidates, this->now, this->rng);
     this->update_watchers(plan, *view);
+    this->write_checkpoint();
     this->read_log(plan);
     if (plan.ask_peers) {
         this->ask_peers(*view);
@@ -89,7 +90,6 @@
         this->apply(allow_install(this->copy));
     }
     this->recover_gap(*view);
-    this->write_checkpoint();
     this->send_heartbeat();
     this->publish_status(plan);
 }
@@ -250,9 +250,15 @@
 
 void engine::read_log(const source_plan& plan)
 {
-    if (plan.read_log && !this->log_busy) {
-        this->log_busy = this->worker.read(next_offset(this->copy), plan.wait);
+    if (!plan.read_log || this->log_busy) {
+        return;
     }
+    auto wait = plan.wait;
+    if (this->copy.checkpoint_due) {
+        const auto until_due = std::chrono::ceil<milliseconds>(*this->copy.checkpoint_due - this->now);
+        wait = std::clamp(until_due, milliseconds{0}, wait);
+    }
+    this->log_busy = this->worker.read(next_offset(this->copy), wait);
 }
 
 void engine::recover_gap(const member_view& view)
@@ -268,6 +274,11 @@
 
 void engine::write_checkpoint()
 {
+    // Decided only between two reads: an append queued behind a long poll would be written although the poll
+    // returns the checkpoint of another node.
+    if (this->log_busy) {
+        return;
+    }
     const auto& answered = this->sources.log_answered;
     const auto current = answered && this->now - *answered <= this->settings.sources.silence_limit;
     auto payload = plan_checkpoint(this->copy, current, this->now, this->rng);
