Park idle connections, so that they hold no thread and no buffer

With one thread per connection, a node in a mesh of 2,400 needs up to 2,400 threads for its peers. A thread now serves a connection until it has been idle for 20 ms; then one epoll thread watches it. The limits on connections and on threads are separate.

--- a/include/kumquatdrift/proxy/channel.hpp
+++ b/include/kumquatdrift/proxy/channel.hpp
@@ -104,6 +104,21 @@
      */
     [[nodiscard]] bool is_cut() const noexcept;
 
+    /*! @brief Frees the memory of the input buffer until the next `receive`, if it is empty. */
+    void release_buffer() noexcept;
+
+    /*! @brief Returns the descriptor of the socket, to watch it; -1 after `abort`. */
+    [[nodiscard]] int handle() const noexcept
+    {
+        return this->descriptor;
+    }
+
+    /*! @brief Returns the socket. */
+    [[nodiscard]] const Poco::Net::StreamSocket& stream() const noexcept
+    {
+        return this->socket;
+    }
+
     /*! @brief Ends the sending direction; the other side reads an end of stream. */
     void finish_sending() noexcept;
 
@@ -116,7 +131,8 @@
 private:
     Poco::Net::StreamSocket socket;
     int descriptor;
-    std::vector<char> buffer;
+    std::size_t capacity;
+    std::vector<char> buffer{};
     std::size_t begin{};
     std::size_t end{};
     std::uint64_t sent{};
--- a/include/kumquatdrift/proxy/settings.hpp
+++ b/include/kumquatdrift/proxy/settings.hpp
@@ -13,8 +13,11 @@
 struct listener_limits {
     /*! @brief IP address and port to listen on; port 0 picks a free one. */
     std::string address{"127.0.0.1:0"};
-    /*! @brief Largest number of connections. Each holds one thread; further ones get 503 and are closed. */
-    std::uint32_t max_connections{256};
+    /*! @brief Largest number of connections; further ones get 503 and are closed. */
+    std::uint32_t max_connections{4'096};
+    /*! @brief Largest number of requests that are answered at the same time; further ones wait for a thread.
+     */
+    std::uint32_t max_threads{256};
     /*! @brief Largest size of a request head in bytes, start line and line ends included. */
     std::uint32_t max_header_bytes{16 * 1024};
     /*! @brief Largest request body in bytes; a route may set a lower limit. */
--- a/src/proxy/channel.cpp
+++ b/src/proxy/channel.cpp
@@ -32,7 +32,7 @@
 } // namespace
 
 channel::channel(const Poco::Net::StreamSocket& connected, std::size_t input_bytes)
-    : socket{connected}, descriptor{socket.impl()->sockfd()}, buffer(input_bytes)
+    : socket{connected}, descriptor{socket.impl()->sockfd()}, capacity{input_bytes}
 {
     assert(input_bytes > 0);
     // Without this, a head and a body that are sent separately wait for each other's acknowledgement.
@@ -61,6 +61,9 @@
     if (waited != io_status::ok) {
         return waited;
     }
+    if (this->buffer.empty()) {
+        this->buffer.resize(this->capacity);
+    }
     if (this->begin > 0) {
         std::memmove(this->buffer.data(), this->buffer.data() + this->begin, this->end - this->begin);
         this->end -= this->begin;
@@ -82,7 +85,7 @@
 
 bool channel::is_full() const noexcept
 {
-    return this->end - this->begin == this->buffer.size();
+    return this->end - this->begin == this->capacity;
 }
 
 void channel::consume(std::size_t count) noexcept
@@ -95,6 +98,15 @@
     }
 }
 
+void channel::release_buffer() noexcept
+{
+    if (this->begin == this->end) {
+        this->begin = 0;
+        this->end = 0;
+        std::vector<char>{}.swap(this->buffer);
+    }
+}
+
 io_status channel::send(std::string_view bytes, timestamp until)
 {
     while (!bytes.empty()) {
--- a/src/proxy/listener.cpp
+++ b/src/proxy/listener.cpp
@@ -13,13 +13,17 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/TCPServerConnectionFactory.h>
 
+#include "proxy/parking.hpp"
+
 namespace kumquatdrift::internal {
 
 namespace {
 
-// Threads beyond the connection limit answer further connections with 503 instead of leaving them waiting.
-constexpr int spare_threads = 8;
+// A connection without a request for this time is parked. Longer than the pauses of a busy connection,
+// because resuming it costs two more thread switches.
+constexpr milliseconds park_after{20};
 constexpr int accept_queue = 1'024;
+constexpr long dispatcher_idle_us = 250'000;
 // Touched pages count only; deep calls are rare on these threads.
 constexpr int stack_bytes = 256 * 1024;
 constexpr std::size_t extra_input_bytes = 4 * 1024;
@@ -100,6 +104,21 @@
         return this->changed.wait_for(lock, time, [this] { return this->open.empty(); });
     }
 
+    // Keeps a connection until the factory takes it for its socket.
+    void hand_over(std::unique_ptr<channel> io)
+    {
+        const std::lock_guard lock{this->mutex};
+        const auto descriptor = io->handle();
+        this->resumed[descriptor] = std::move(io);
+    }
+
+    [[nodiscard]] std::unique_ptr<channel> take_resumed(int descriptor)
+    {
+        const std::lock_guard lock{this->mutex};
+        const auto found = this->resumed.extract(descriptor);
+        return found ? std::move(found.mapped()) : nullptr;
+    }
+
     [[nodiscard]] std::size_t size() const
     {
         const std::lock_guard lock{this->mutex};
@@ -109,12 +128,14 @@
     const listener_limits limits;
     const listener::handler handle;
     const refusal_observer observe;
+    std::unique_ptr<parking> lot{};
 
 private:
     mutable std::mutex mutex{};
     std::condition_variable changed{};
     // The value is true while the connection waits for a request.
     std::map<channel*, bool> open{};
+    std::map<int, std::unique_ptr<channel>> resumed{};
     bool stopping{};
 };
 
@@ -166,38 +187,50 @@
 public:
     connection_handler(const Poco::Net::StreamSocket& accepted, std::shared_ptr<connection_registry> shared)
         : TCPServerConnection{accepted}, registry{std::move(shared)},
-          io{accepted, this->registry->limits.max_header_bytes + extra_input_bytes}
+          connection{this->registry->take_resumed(accepted.impl()->sockfd())}, is_new{!this->connection}
     {
+        if (this->is_new) {
+            const auto input_bytes = this->registry->limits.max_header_bytes + extra_input_bytes;
+            this->connection = std::make_unique<channel>(accepted, input_bytes);
+        }
     }
 
     void run() override
     {
-        const auto is_welcome = this->registry->add(this->io);
+        auto& io = *this->connection;
         const auto& limits = this->registry->limits;
+        const auto is_welcome = !this->is_new || this->registry->add(io);
         // A new connection has to send a request soon, so that silent ones do not fill the limit.
-        auto wait = limits.header_time;
-        // The next request of a client that pipelines may already be in the buffer.
-        // Receiving here saves one poll per request, because the head is then parsed from the buffer.
-        while (!this->io.input().empty() || this->io.receive(steady_now() + wait) == io_status::ok) {
-            this->registry->set_busy(this->io);
-            if (!this->serve_request(is_welcome) || !this->registry->set_idle(this->io)) {
+        auto idle_until = steady_now() + (this->is_new ? limits.header_time : limits.idle_time);
+        while (true) {
+            // Receiving here saves one poll per request, because the head is then parsed from the buffer.
+            const auto status = io.input().empty() ? io.receive(steady_now() + park_after) : io_status::ok;
+            if (status == io_status::timed_out && is_welcome) {
+                io.release_buffer();
+                this->registry->lot->park(std::move(this->connection), idle_until);
+                return;
+            }
+            this->registry->set_busy(io);
+            if (status != io_status::ok || !this->serve_request(is_welcome) ||
+                !this->registry->set_idle(io)) {
                 break;
             }
-            wait = limits.idle_time;
+            idle_until = steady_now() + limits.idle_time;
         }
-        this->registry->remove(this->io);
+        this->registry->remove(io);
     }
 
 private:
     [[nodiscard]] bool serve_request(bool is_welcome)
     {
         const auto& limits = this->registry->limits;
-        request_reader reader{this->io, limits.max_header_bytes};
+        auto& io = *this->connection;
+        request_reader reader{io, limits.max_header_bytes};
         const auto status = reader.read_head(steady_now() + limits.header_time);
         if (status == read_status::closed || status == read_status::truncated) {
             return false;
         }
-        exchange current{this->io, reader, limits};
+        exchange current{io, reader, limits};
         if (status != read_status::ok || !is_valid_request(reader.head())) {
             this->refuse(current, refusal_of(status));
             return false;
@@ -217,7 +250,7 @@
         if (this->registry->observe) {
             this->registry->observe(answer.status);
         }
-        linger(this->io);
+        linger(*this->connection);
     }
 
     [[nodiscard]] bool end(exchange& current)
@@ -232,13 +265,14 @@
             return true;
         }
         if (!is_read) {
-            linger(this->io);
+            linger(*this->connection);
         }
         return false;
     }
 
     std::shared_ptr<connection_registry> registry;
-    channel io;
+    std::unique_ptr<channel> connection;
+    bool is_new;
 };
 
 class connection_factory : public Poco::Net::TCPServerConnectionFactory {
@@ -260,18 +294,38 @@
 listener::listener(const listener_limits& limits, handler handle, refusal_observer observe)
     : registry{std::make_shared<connection_registry>(limits, std::move(handle), std::move(observe))}
 {
-    const auto most_threads = static_cast<int>(limits.max_connections) + spare_threads;
+    this->listen(limits);
+    // The lot belongs to the registry, so that its thread must not own the registry.
+    auto* const shared = this->registry.get();
+    shared->lot = std::make_unique<parking>(
+        [this, shared](std::unique_ptr<channel> ready) {
+            const auto stream = ready->stream();
+            shared->hand_over(std::move(ready));
+            this->resumer->enqueue(stream);
+        },
+        [shared](std::unique_ptr<channel> expired) { shared->remove(*expired); });
+    this->server->start();
+}
+
+void listener::listen(const listener_limits& limits)
+{
+    const auto most_threads = static_cast<int>(limits.max_threads);
     constexpr int idle_seconds = 30;
-    this->threads = std::make_unique<Poco::ThreadPool>(2, most_threads, idle_seconds, stack_bytes);
+    // The dispatchers of new and of resumed connections share the pool.
+    this->threads = std::make_unique<Poco::ThreadPool>(2, 2 * most_threads, idle_seconds, stack_bytes);
     this->socket.bind(Poco::Net::SocketAddress{limits.address}, true);
     this->socket.listen(accept_queue);
     this->bound_port = this->socket.address().port();
     Poco::Net::TCPServerParams::Ptr parameters{new Poco::Net::TCPServerParams};
     parameters->setMaxThreads(most_threads);
-    parameters->setMaxQueued(accept_queue);
+    // At stop, a dispatcher's last thread can miss the notification and wait for its idle time, 10 s by
+    // default.
+    parameters->setThreadIdleTime(Poco::Timespan{0, dispatcher_idle_us});
+    // Large enough for all connections: a dispatcher drops what does not fit.
+    parameters->setMaxQueued(static_cast<int>(limits.max_connections) + accept_queue);
     Poco::Net::TCPServerConnectionFactory::Ptr factory{new connection_factory{this->registry}};
     this->server = std::make_unique<Poco::Net::TCPServer>(factory, *this->threads, this->socket, parameters);
-    this->server->start();
+    this->resumer = new Poco::Net::TCPServerDispatcher{factory, *this->threads, parameters};
 }
 
 result<std::unique_ptr<listener>> listener::create(const listener_limits& limits, handler handle,
@@ -288,6 +342,7 @@
 listener::~listener()
 {
     this->stop(milliseconds{0});
+    this->resumer->release();
 }
 
 std::size_t listener::connections() const
@@ -306,6 +361,8 @@
     this->registry->stop();
     const auto is_finished = this->registry->wait_empty(grace);
     this->registry->cut();
+    this->registry->lot->stop();
+    this->resumer->stop();
     this->threads->joinAll();
     return is_finished;
 }
--- a/src/proxy/listener.hpp
+++ b/src/proxy/listener.hpp
@@ -9,6 +9,7 @@
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/TCPServer.h>
+#include <Poco/Net/TCPServerDispatcher.h>
 #include <Poco/ThreadPool.h>
 
 #include <kumquatdrift/core/result.hpp>
@@ -20,11 +21,18 @@
 namespace kumquatdrift::internal {
 
 class connection_registry;
+class parking;
 
 /*! @brief What the listener reports about requests that never reach the handler. */
 using refusal_observer = std::function<void(unsigned status)>;
 
-/*! @brief HTTP/1 server on a TCP port with one thread per connection. */
+/**
+ * @brief HTTP/1 server on a TCP port.
+ *
+ * A thread serves a connection for as long as its requests follow each other closely; then the connection is
+ * parked and its thread serves others. In a mesh of 2,400 nodes a node can hold a connection from each other
+ * node, most of them idle at any time; a thread for each would not fit into its memory.
+ */
 class listener {
 public:
     /*! @brief Answers one request; called from the connection's thread. */
@@ -63,10 +71,14 @@
 private:
     listener(const listener_limits& limits, handler handle, refusal_observer observe);
 
+    void listen(const listener_limits& limits);
+
     std::shared_ptr<connection_registry> registry;
     std::unique_ptr<Poco::ThreadPool> threads;
     Poco::Net::ServerSocket socket{};
     std::unique_ptr<Poco::Net::TCPServer> server;
+    // Serves connections that were parked.
+    Poco::Net::TCPServerDispatcher* resumer{};
     std::uint16_t bound_port{};
     bool stopped{};
 };
--- a/src/proxy/outbound.hpp
+++ b/src/proxy/outbound.hpp
@@ -18,7 +18,7 @@
 namespace kumquatdrift::internal {
 
 /*! @brief Largest answer head that is taken from a node or target. */
-inline constexpr std::uint32_t max_answer_head_bytes = 32 * 1024;
+inline constexpr std::uint32_t max_answer_head_bytes = 16 * 1024;
 
 /*! @brief Input buffer of a connection to a node or target. */
 inline constexpr std::size_t answer_buffer_bytes = max_answer_head_bytes + 4 * 1024;
--- a/tests/proxy/fake_target.cpp
+++ b/tests/proxy/fake_target.cpp
@@ -215,7 +215,7 @@
     if (now == behaviour::refuse_early) {
         send(socket, "HTTP/1.1 429 Too Many Requests\r\nx-kumquatdrift-verdict: not_run\r\nContent-Length: "
                      "0\r\nConnection: close\r\n\r\n");
-        std::this_thread::sleep_for(milliseconds{200});
+        std::this_thread::sleep_for(milliseconds{this->delay_ms.load()});
         return false;
     }
     std::string body;
--- a/tests/proxy/flows.cpp
+++ b/tests/proxy/flows.cpp
@@ -160,9 +160,13 @@
 {
     this->route.retry.max_attempts = 1;
     this->start_with_target();
-    this->target.behave(behaviour::refuse_early);
+    this->route.deadline = milliseconds{3'000};
+    this->publish();
+    this->target.behave(behaviour::refuse_early, milliseconds{1'500});
+    const auto started = steady_now();
     // More than the socket buffers hold, so that the upload cannot end before the refusal is noticed.
     const auto answer = this->call("up", pattern(32 * megabyte));
+    EXPECT_LT(steady_now() - started, milliseconds{1'200}) << "the target closes only after 1.5 s";
     EXPECT_EQ(answer.status, 429U);
     EXPECT_EQ(answer.verdict(), "not_run");
 }
--- a/tests/proxy/protocol.cpp
+++ b/tests/proxy/protocol.cpp
@@ -260,6 +260,41 @@
     EXPECT_EQ(this->target.runs("3"), 0U);
 }
 
+// Guards against idle connections that hold all threads, and against input that is lost while parked.
+TEST_F(proxy_protocol, idle_connections_hold_no_threads)
+{
+    this->settings.caller.max_threads = 2;
+    this->settings.peer.max_threads = 4;
+    this->start_with_target();
+    std::vector<std::unique_ptr<raw_client>> clients;
+    for (int index = 0; index < 8; ++index) {
+        clients.push_back(std::make_unique<raw_client>(this->entry.proxy->ports().caller));
+    }
+    for (int round = 0; round < 3; ++round) {
+        for (auto& client : clients) {
+            const auto started = steady_now();
+            client->send(request("x"));
+            EXPECT_EQ(client->receive().status, 200U);
+            EXPECT_LT(steady_now() - started, milliseconds{500});
+        }
+        std::this_thread::sleep_for(milliseconds{50});
+    }
+}
+
+// Guards against connections that stay open for ever, with and without a first request.
+TEST_F(proxy_protocol, idle_and_silent_connections_are_closed)
+{
+    this->settings.caller.idle_time = milliseconds{100};
+    this->settings.caller.header_time = milliseconds{200};
+    this->start_with_target();
+    raw_client idle{this->entry.proxy->ports().caller};
+    raw_client silent{this->entry.proxy->ports().caller};
+    idle.send(request("x"));
+    EXPECT_EQ(idle.receive().status, 200U);
+    EXPECT_TRUE(idle.is_closed_within(milliseconds{1'000}));
+    EXPECT_TRUE(silent.is_closed_within(milliseconds{1'000}));
+}
+
 // Guards against a route that takes all threads.
 TEST_F(proxy_protocol, requests_beyond_max_in_flight_get_503)
 {
