--- a/tests/proxy/protocol.cpp
+++ b/tests/proxy/protocol.cpp
@@ -266,9 +266,9 @@
     this->settings.caller.max_threads = 2;
     this->settings.peer.max_threads = 4;
     this->start_with_target();
-    std::vector<std::unique_ptr<raw_client>> clients;
-    for (int index = 0; index < 8; ++index) {
-        clients.push_back(std::make_unique<raw_client>(this->entry.proxy->ports().caller));
+    std::vector<std::unique_ptr<raw_client>> clients(8);
+    for (auto& client : clients) {
+        client = std::make_unique<raw_client>(this->entry.proxy->ports().caller);
     }
     for (int round = 0; round < 3; ++round) {
         for (auto& client : clients) {
