Keep crash suspects after a shed answer; tell quarantine from a busy target with status 429

Cause: the target's node took any complete answer for a success, so that a target which shed the request between two deaths cleared it, and a request that kills was never quarantined. A refusal by quarantine also looked like a full target, and the entry node sent the request on to a target whose node did not know it yet.

Test: proxy_failure.shed_answer_does_not_clear_a_crash_suspect. Before: the third attempt ran (status 200, one run).

--- a/src/proxy/caller_request.cpp
+++ b/src/proxy/caller_request.cpp
@@ -263,8 +263,14 @@
     if (has_client_failed) {
         return false;
     }
-    const failed_attempt failed{this->attempts, effect, this->request.client.is_started(),
-                                this->request.body.is_replayable(), this->request.deadline};
+    const auto is_quarantined = is_quarantine_refusal(current.observation) ||
+                                (current.refused && current.refused->status == quarantined_status);
+    const failed_attempt failed{this->attempts,
+                                effect,
+                                this->request.client.is_started(),
+                                this->request.body.is_replayable(),
+                                this->request.deadline,
+                                is_quarantined};
     const auto delay = this->entry.state.retry_delay(this->route, failed);
     if (!delay) {
         return false;
--- a/src/proxy/target_host.cpp
+++ b/src/proxy/target_host.cpp
@@ -214,7 +214,8 @@
     if (decision.action == quarantine_action::run || decision.action == quarantine_action::run_alone) {
         return true;
     }
-    result.refused = refusal{unavailable,
+    const auto is_quarantined = decision.action == quarantine_action::refuse;
+    result.refused = refusal{is_quarantined ? quarantined_status : unavailable,
                              verdict::not_run,
                              decision.retry_after,
                              "Requests like this one crashed targets; it was not run.",
@@ -287,7 +288,8 @@
         this->publish(in_flight);
         return;
     }
-    if (observation.end != hop_end::answered) {
+    // A target that shed the request proves nothing about it.
+    if (observation.end != hop_end::answered || verdict_of(observation) == verdict::not_run) {
         this->release(gate, fingerprint);
         return;
     }
