--- a/tests/support/fuzz_main.hpp
+++ b/tests/support/fuzz_main.hpp
@@ -86,6 +86,14 @@
     void onTestFinished(const rc::detail::TestMetadata&, const rc::detail::TestResult&) override {}
 };
 
+/*! @brief Loads RapidCheck's configuration without its message, which names a seed that is not used here. */
+inline void load_configuration()
+{
+    auto* const buffer = std::cerr.rdbuf(nullptr);
+    static_cast<void>(rc::detail::configuration());
+    std::cerr.rdbuf(buffer);
+}
+
 } // namespace internal
 
 /**
@@ -103,8 +111,11 @@
     parameters.seed = seed;
     parameters.maxSuccess = cases;
     parameters.maxSize = size;
-    const auto outcome =
-        rc::detail::checkTestable(std::forward<Property>(property), rc::detail::TestMetadata{}, parameters);
+    internal::load_configuration();
+    internal::silent_listener listener;
+    const std::unordered_map<std::string, rc::detail::Reproduce> no_replay;
+    const auto outcome = rc::detail::checkTestable(
+        std::forward<Property>(property), rc::detail::TestMetadata{}, parameters, listener, no_replay);
     if (!outcome.template is<rc::detail::SuccessResult>()) {
         std::ostringstream text;
         rc::detail::printResultMessage(outcome, text);
