--- a/src/distribution/watch_stream.cpp
+++ b/src/distribution/watch_stream.cpp
@@ -13,6 +13,9 @@
     {
         const std::lock_guard lock{this->mutex};
         this->self = std::move(reference);
+        if (this->ending) {
+            return;
+        }
         if (redirect) {
             *this->event.mutable_redirect() = std::move(*redirect);
             this->writing = true;
--- a/tests/distribution/replica.cpp
+++ b/tests/distribution/replica.cpp
@@ -255,6 +255,23 @@
     EXPECT_FALSE(this->subject.checkpoint_due);
 }
 
+// Guards against a late checkpoint that replaces a better one and puts the next one off.
+TEST_F(replica_test, late_checkpoint_does_not_restart_the_quarter_of_the_retention)
+{
+    this->publish(2);
+    this->read(this->other);
+    const auto late = make_checkpoint_record(this->other.state);
+    this->publish(4);
+    this->read(this->subject);
+    this->log.append(config_stream, make_checkpoint_record(this->subject.state));
+    this->read(this->subject);
+    this->now += milliseconds{99'000};
+    this->log.append(config_stream, late);
+    this->read(this->subject);
+    EXPECT_EQ(this->subject.checkpoint_covers, 6U);
+    EXPECT_TRUE(this->wait_for_checkpoint(this->subject, milliseconds{3'000}));
+}
+
 // Guards against a checkpoint of a paused node that puts off a needed one or misleads a reader.
 TEST_F(replica_test, checkpoint_of_a_paused_node_puts_nothing_off_and_is_not_recovered_from)
 {
--- a/tests/distribution/sources.cpp
+++ b/tests/distribution/sources.cpp
@@ -272,7 +272,9 @@
 {
     auto state = make_parent_state(this->limits);
     EXPECT_TRUE(admit_stream(state, 0, 5 * 1'024 * 1'024, this->now, this->rng).admitted);
-    EXPECT_FALSE(admit_stream(state, 1, 1'024, this->now, this->rng).admitted);
+    const auto refused = admit_stream(state, 1, 1'024, this->now, this->rng);
+    EXPECT_FALSE(refused.admitted);
+    EXPECT_GT(refused.retry_after, milliseconds{0});
     EXPECT_TRUE(admit_stream(state, 1, 0, this->now, this->rng).admitted);
     this->now += milliseconds{10};
     EXPECT_TRUE(admit_stream(state, 2, 1'024, this->now, this->rng).admitted);
