--- a/src/node/service.cpp
+++ b/src/node/service.cpp
@@ -269,6 +269,9 @@
     if (this->proxy) {
         this->proxy->stop(milliseconds{0});
     }
+    if (this->claims) {
+        this->claims->stop();
+    }
     if (this->distribution) {
         this->distribution->end_streams();
     }
