Wire the quarantine time, bound threads apart from connections, and refuse faulty keys and repeated members

traffic.quarantine_ms was read and not used. listeners.*.max_queued had no effect since idle connections hold no thread; max_threads takes its place. A key that can never be claimed got 503, which asks the caller to try again; it gets 400 now. A member that appears twice in the settings replaced the first without a word; it is a fault now.

--- a/include/kumquatdrift/proxy/settings.hpp
+++ b/include/kumquatdrift/proxy/settings.hpp
@@ -6,6 +6,7 @@
 
 #include <kumquatdrift/core/time.hpp>
 #include <kumquatdrift/proxy/fwd.hpp>
+#include <kumquatdrift/traffic/quarantine.hpp>
 
 namespace kumquatdrift {
 
@@ -55,6 +56,8 @@
     listener_limits peer{};
     /*! @brief Connections to nodes and targets. */
     pool_limits pool{};
+    /*! @brief Times and sizes of the crash quarantine. */
+    quarantine_settings quarantine{};
 };
 
 } // namespace kumquatdrift
--- a/include/kumquatdrift/settings/daemon_settings.hpp
+++ b/include/kumquatdrift/settings/daemon_settings.hpp
@@ -13,10 +13,10 @@
 struct http_listener_settings {
     /*! @brief TCP port. */
     std::int64_t port{};
-    /*! @brief Connections served at the same time, one thread each. */
+    /*! @brief Open connections. An idle one holds no thread. */
     std::int64_t max_connections{};
-    /*! @brief Accepted connections that may wait for a thread. */
-    std::int64_t max_queued{};
+    /*! @brief Threads, one for each request that is being served. */
+    std::int64_t max_threads{};
     /*! @brief Total size of the request line and the headers in bytes. */
     std::int64_t max_header_bytes{};
     /*! @brief Size of a request body in bytes. */
--- a/src/claims/service.cpp
+++ b/src/claims/service.cpp
@@ -33,7 +33,6 @@
         return reactor;
     }
 
-    // NOLINTNEXTLINE(readability-identifier-naming): the name comes from the generated base class.
     grpc::ServerUnaryReactor* Complete(grpc::CallbackServerContext* context,
                                        const claims::v1::CompleteCall* call,
                                        claims::v1::FollowUpReply* reply) override
@@ -43,7 +42,6 @@
         return this->accept(*context, std::move(entry), *reply);
     }
 
-    // NOLINTNEXTLINE(readability-identifier-naming): the name comes from the generated base class.
     grpc::ServerUnaryReactor* Release(grpc::CallbackServerContext* context,
                                       const claims::v1::ReleaseCall* call,
                                       claims::v1::FollowUpReply* reply) override
--- a/src/node/mapping.cpp
+++ b/src/node/mapping.cpp
@@ -1,5 +1,6 @@
 #include "node/mapping.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <string>
 
@@ -14,6 +15,7 @@
     listener_limits limits;
     limits.address = Poco::Net::SocketAddress{ip, static_cast<Poco::UInt16>(listener.port)}.toString();
     limits.max_connections = static_cast<std::uint32_t>(listener.max_connections);
+    limits.max_threads = static_cast<std::uint32_t>(listener.max_threads);
     limits.max_header_bytes = static_cast<std::uint32_t>(listener.max_header_bytes);
     limits.max_body_bytes = static_cast<std::uint64_t>(listener.max_body_bytes);
     limits.header_time = milliseconds{listener.header_timeout_ms};
@@ -84,6 +86,9 @@
     proxy.pool.connections_per_node = static_cast<std::uint32_t>(settings.pool_per_node);
     proxy.pool.connections_per_target = static_cast<std::uint32_t>(settings.pool_per_target);
     proxy.pool.connect_timeout = milliseconds{settings.connect_timeout_ms};
+    proxy.quarantine.quarantine_time = milliseconds{settings.quarantine_ms};
+    proxy.quarantine.longest_quarantine =
+        std::max(proxy.quarantine.longest_quarantine, proxy.quarantine.quarantine_time);
     return proxy;
 }
 
--- a/src/proxy/caller_request.cpp
+++ b/src/proxy/caller_request.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/beast/http/field.hpp>
 
+#include <kumquatdrift/claims/state.hpp>
 #include <kumquatdrift/core/digest.hpp>
 #include <kumquatdrift/proxy/headers.hpp>
 #include <kumquatdrift/telemetry/log.hpp>
@@ -91,6 +92,14 @@
     if (key.empty()) {
         return true;
     }
+    if (!is_valid_claim_key(key)) {
+        this->request.client.refuse({400,
+                                     verdict::not_run,
+                                     {},
+                                     "The idempotency key must be 1 to 256 printable ASCII characters.",
+                                     {}});
+        return false;
+    }
     claim_request wanted{this->route.name, std::string{key}, this->entry.next_attempt_id(),
                          this->request.deadline};
     const auto answer = this->entry.dependencies.claims.claim(wanted);
--- a/src/proxy/service.cpp
+++ b/src/proxy/service.cpp
@@ -18,7 +18,8 @@
                                                                  {settings.pool.connections_per_target,
                                                                   settings.pool.connect_timeout,
                                                                   settings.pool.idle_time},
-                                                                 dependencies.on_advisory},
+                                                                 dependencies.on_advisory,
+                                                                 settings.quarantine},
           callers{settings, dependencies, host, draining}, peers{dependencies, host, draining}
     {
     }
--- a/src/proxy/target_host.cpp
+++ b/src/proxy/target_host.cpp
@@ -138,9 +138,10 @@
 }
 
 target_host::target_host(std::string name, const connection_limits& limits,
-                         std::function<void(const crash_advisory&)> on_advisory_of_crash)
+                         std::function<void(const crash_advisory&)> on_advisory_of_crash,
+                         const quarantine_settings& crash_settings)
     : node{std::move(name)}, pool{connection_pool::create(limits, answer_buffer_bytes)},
-      on_advisory{std::move(on_advisory_of_crash)}
+      on_advisory{std::move(on_advisory_of_crash)}, quarantine{crash_settings}
 {
 }
 
--- a/src/proxy/target_host.hpp
+++ b/src/proxy/target_host.hpp
@@ -83,7 +83,8 @@
      * @param on_advisory_of_crash Receives what other nodes should know; may be empty.
      */
     target_host(std::string name, const connection_limits& limits,
-                std::function<void(const crash_advisory&)> on_advisory_of_crash);
+                std::function<void(const crash_advisory&)> on_advisory_of_crash,
+                const quarantine_settings& crash_settings = {});
 
     /**
      * @brief Replaces the targets.
@@ -161,7 +162,7 @@
     mutable std::shared_mutex gates_mutex{};
     std::map<std::string, gate_entry, std::less<>> gates{};
     mutable std::mutex quarantine_mutex{};
-    crash_quarantine quarantine{};
+    crash_quarantine quarantine;
     log_limit crash_log{};
 };
 
--- a/src/settings/fields.cpp
+++ b/src/settings/fields.cpp
@@ -89,6 +89,7 @@
 struct listener_defaults {
     std::int64_t port{};
     std::int64_t max_connections{};
+    std::int64_t max_threads{};
     std::int64_t max_body_bytes{};
 };
 
@@ -106,11 +107,10 @@
     using listener_type = http_listener_settings;
     table.integer(prefix + "port", "", "TCP port.",
                   {1, max_port, defaults.port, member(&listener_type::port)});
-    table.integer(prefix + "max_connections", "connections",
-                  "Connections served at the same time, a thread each.",
+    table.integer(prefix + "max_connections", "connections", "Open connections. An idle one holds no thread.",
                   {1, 10'000, defaults.max_connections, member(&listener_type::max_connections)});
-    table.integer(prefix + "max_queued", "connections", "Accepted connections that may wait for a thread.",
-                  {1, 10'000, 64, member(&listener_type::max_queued)});
+    table.integer(prefix + "max_threads", "threads", "Threads, one for each request that is being served.",
+                  {4, 10'000, defaults.max_threads, member(&listener_type::max_threads)});
     table.integer(prefix + "max_header_bytes", "bytes", "Total size of the request line and the headers.",
                   {512, mebibyte, 16'384, member(&listener_type::max_header_bytes)});
     table.integer(prefix + "max_body_bytes", "bytes",
@@ -154,9 +154,9 @@
 
     void add_listeners(table_builder& table)
     {
-        add_listener(table, "caller", &daemon_settings::caller, {7400, 256, 256 * mebibyte});
-        add_listener(table, "peer", &daemon_settings::peer, {7401, 512, 256 * mebibyte});
-        add_listener(table, "admin", &daemon_settings::admin, {7402, 32, mebibyte});
+        add_listener(table, "caller", &daemon_settings::caller, {7400, 4'096, 256, 256 * mebibyte});
+        add_listener(table, "peer", &daemon_settings::peer, {7401, 4'096, 512, 256 * mebibyte});
+        add_listener(table, "admin", &daemon_settings::admin, {7402, 256, 16, mebibyte});
     table.integer("listeners.control.port", "", "TCP port of the gRPC services.",
                   {1, max_port, 7403, [](auto& settings) -> auto& { return settings.control_port;
     }
@@ -266,7 +266,7 @@
     }
     });
     table.integer("traffic.quarantine_ms", "ms", "Time for which a request that crashed two targets is rejected.",
-                  {100, 24 * hour_ms, 600'000, [](auto& settings) -> auto& { return settings.quarantine_ms;
+                  {100, 24 * hour_ms, 60'000, [](auto& settings) -> auto& { return settings.quarantine_ms;
     }
     });
     }
--- a/src/settings/parse.cpp
+++ b/src/settings/parse.cpp
@@ -8,10 +8,10 @@
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
-#include <Poco/JSON/Parser.h>
 
 #include <kumquatdrift/core/json_comments.hpp>
 
+#include "config/json.hpp"
 #include "settings/fields.hpp"
 
 namespace kumquatdrift {
@@ -186,23 +186,14 @@
 settings_outcome parse_settings(std::string_view text)
 {
     settings_outcome outcome;
-    Poco::JSON::Object::Ptr root;
-    try {
-        Poco::JSON::Parser parser;
-        const auto parsed = parser.parse(blank_json_comments(text));
-        if (parsed.type() != typeid(Poco::JSON::Object::Ptr)) {
-            outcome.faults.push_back({"file", "must hold one JSON object"});
-            return outcome;
-        }
-        root = parsed.extract<Poco::JSON::Object::Ptr>();
-    }
-    catch (const Poco::Exception& error) {
-        outcome.faults.push_back({"file", "is not valid JSON: " + error.message()});
+    const auto root = internal::parse_object(blank_json_comments(text), internal::repeated_members::error);
+    if (!root) {
+        outcome.faults.push_back({"file", root.last_reason()});
         return outcome;
     }
-    find_unknown(*root, "", outcome);
+    find_unknown(**root, "", outcome);
     for (const auto& row : settings_table()) {
-        read_field(row, root, outcome);
+        read_field(row, *root, outcome);
     }
     check_ports(outcome);
     check_relations(outcome);
--- a/tests/settings/parse.cpp
+++ b/tests/settings/parse.cpp
@@ -69,6 +69,13 @@
     }
 }
 
+// Guards against a second member of the same name that silently replaces the first.
+TEST_F(settings_parse, member_that_appears_twice_is_a_fault)
+{
+    const auto outcome = parse_settings(with(R"(, "node": "belem-1")"));
+    EXPECT_FALSE(outcome.faults.empty());
+}
+
 // Guards against two listeners that would fight for one port at start.
 TEST_F(settings_parse, equal_ports_on_one_address_are_a_fault)
 {
