--- a/scripts/lib/bench.py
+++ b/scripts/lib/bench.py
@@ -9,7 +9,7 @@
 import subprocess
 import time
 
-from mesh import BIN, Mesh, make_fleet, request, wait_until
+from mesh import BIN, ROOT, Mesh, load_json, make_fleet, request, wait_until
 
 TICKS = os.sysconf("SC_CLK_TCK")
 PAGE = os.sysconf("SC_PAGE_SIZE")
@@ -349,7 +349,36 @@
             table.add(f"membership/{name}", seconds * 1e6, "us")
 
 
-GROUPS = ("parts", "latency", "overload", "claims", "storm", "slopes", "fleets")
+def measure_examples(table):
+    """Control bytes, convergence and detection of a killed node with the settings of the two examples."""
+    for example in ("lisbon", "nordeste"):
+        path = next(iter(sorted((ROOT / "examples" / example / "nodes").glob("*.json"))))
+        settings = load_json(path)
+        membership = {name: value for name, value in settings["membership"].items() if name != "seeds"}
+        with Mesh() as mesh:
+            nodes = start_fleet(mesh, 3, 4, {"membership": membership, "distribution": settings["distribution"]})
+            churn = Churn(mesh, nodes)
+            for node in nodes:
+                churn.announce(node, "t1", "ready")
+            time.sleep(10)
+            rest = usage(mesh, nodes, 10)
+            seconds = convergence(mesh, nodes, 4)
+            gone = nodes[6]
+            rest_of_nodes = [node for node in nodes if node != gone]
+            mesh.processes[gone].kill()
+            noticed = wait_until(lambda: all(is_noticed(mesh, node, gone) for node in rest_of_nodes), 40)
+        table.add(f"control_bytes_per_node_s/{example}", rest["bytes"], "B/s", None, 12000)
+        table.add(f"convergence_p99_s/{example}", percentile(seconds, 0.99), "s", None, 4.0, 4)
+        table.add(f"killed_node_noticed_s/{example}", noticed, "s")
+        table.add(f"control_core_percent/{example}", rest["core"], "% of a core", None, 1.7)
+
+
+def is_noticed(mesh, node, gone):
+    """Checks whether a node no longer takes another for alive."""
+    return all(member["status"] != "alive" for member in mesh.status(node)["members"] if member["node"] == gone)
+
+
+GROUPS = ("parts", "latency", "overload", "claims", "storm", "slopes", "examples", "fleets")
 
 
 def main():
@@ -366,6 +395,7 @@
         "claims": lambda: measure_claims(table, 3 if quick else 6),
         "storm": lambda: measure_storm(table, 3, 4 if quick else 16),
         "slopes": lambda: measure_slopes(table, 8 if quick else 10),
+        "examples": lambda: measure_examples(table),
         "fleets": lambda: measure_fleets(table, [(3, 4)] if quick else [(3, 4), (3, 16), (3, 40)], 5,
                                          8 if quick else 10),
     }
--- a/src/membership/service.cpp
+++ b/src/membership/service.cpp
@@ -33,7 +33,7 @@
 // this keeps their share below 0.8 % of a core under lasting churn.
 constexpr milliseconds endpoint_view_interval{250};
 constexpr milliseconds version_view_interval{1'000};
-constexpr microseconds view_interval_per_member{200};
+constexpr microseconds view_interval_per_member{250};
 
 log4cxx::LoggerPtr logger()
 {
