--- /dev/null
+++ b/include/kumquatdrift/core/boot_clock.hpp
@@ -0,0 +1,23 @@
+#ifndef KUMQUATDRIFT_CORE_BOOT_CLOCK_HPP
+#define KUMQUATDRIFT_CORE_BOOT_CLOCK_HPP
+
+#include <ctime>
+
+#include <kumquatdrift/core/time.hpp>
+
+namespace kumquatdrift {
+
+/**
+ * @brief Reads the monotonic clock that also counts the time in which the machine was suspended.
+ * @return The current time. Not comparable with `steady_now`.
+ */
+[[nodiscard]] inline timestamp boot_now() noexcept
+{
+    std::timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return timestamp{std::chrono::seconds{now.tv_sec} + microseconds{now.tv_nsec / 1'000}};
+}
+
+} // namespace kumquatdrift
+
+#endif
--- /dev/null
+++ b/include/kumquatdrift/mesh/fwd.hpp
@@ -0,0 +1,25 @@
+#ifndef KUMQUATDRIFT_MESH_FWD_HPP
+#define KUMQUATDRIFT_MESH_FWD_HPP
+
+#include <cstdint>
+
+namespace kumquatdrift {
+
+enum class request_kind : std::uint8_t;
+struct route_part;
+struct mesh_route;
+struct mesh_service;
+struct caller_limits;
+struct mesh_config;
+class route_index;
+class part_chooser;
+enum class report_state : std::uint8_t;
+struct target_report;
+struct target_record;
+struct target_load;
+struct member_record;
+class member_table;
+
+} // namespace kumquatdrift
+
+#endif
--- a/include/kumquatdrift/telemetry/fwd.hpp
+++ b/include/kumquatdrift/telemetry/fwd.hpp
@@ -7,6 +7,8 @@
 
 enum class log_level : std::uint8_t;
 enum class log_part : std::uint8_t;
+class event_log;
+enum class event_class : std::uint8_t;
 class part_logger;
 
 struct metric_label;
--- a/include/kumquatdrift/telemetry/log.hpp
+++ b/include/kumquatdrift/telemetry/log.hpp
@@ -11,33 +11,10 @@
 
 #include <kumquatdrift/core/enum_names.hpp>
 #include <kumquatdrift/telemetry/fwd.hpp>
+#include <kumquatdrift/telemetry/log_level.hpp>
 
 namespace kumquatdrift {
 
-/*! @brief Severity of a log line. */
-enum class log_level : std::uint8_t {
-    /*! @brief Details of single requests and messages. */
-    debug,
-    /*! @brief Changes of state that an operator expects. */
-    info,
-    /*! @brief Conditions that the system handles but an operator should know. */
-    warn,
-    /*! @brief Conditions that need an operator. */
-    error,
-};
-
-/*! @brief Names of the levels, as written in the settings. */
-template<>
-struct enum_names<log_level> {
-    /*! @brief Pairs of enumerator and name. */
-    static constexpr std::array<std::pair<log_level, std::string_view>, 4> table{{
-        {log_level::debug, "debug"},
-        {log_level::info, "info"},
-        {log_level::warn, "warn"},
-        {log_level::error, "error"},
-    }};
-};
-
 /*! @brief Part of the system that logs. Its name is the prefix of its lines. */
 enum class log_part : std::uint8_t {
     /*! @brief Configuration. */
--- a/include/kumquatdrift/traffic/fwd.hpp
+++ b/include/kumquatdrift/traffic/fwd.hpp
@@ -28,6 +28,17 @@
 enum class hop_end : std::uint8_t;
 struct hop_observation;
 
+struct run_request;
+enum class run_decision : std::uint8_t;
+class run_queue;
+
+struct placement_candidate;
+struct placement_settings;
+struct placement;
+
+struct retry_bound;
+class retry_share;
+
 } // namespace kumquatdrift
 
 #endif
--- /dev/null
+++ b/include/kumquatdrift/traffic/run_queue.hpp
@@ -0,0 +1,149 @@
+#ifndef KUMQUATDRIFT_TRAFFIC_RUN_QUEUE_HPP
+#define KUMQUATDRIFT_TRAFFIC_RUN_QUEUE_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+#include <kumquatdrift/core/time.hpp>
+#include <kumquatdrift/mesh/members.hpp>
+#include <kumquatdrift/traffic/fwd.hpp>
+
+namespace kumquatdrift {
+
+/*! @brief A request that asks for a slot of the target next to this node. */
+struct run_request {
+    /*! @brief Id, unique at this node. */
+    std::uint64_t id{};
+    /*! @brief Rank, 0 is the most urgent. */
+    std::uint32_t priority{};
+    /*! @brief True for a call of a request that already runs; those go first, their cost is already paid. */
+    bool inner{};
+    /*! @brief Time until which an answer is in time for the caller. */
+    timestamp objective{};
+    /*! @brief Time at which the caller gives up. */
+    timestamp deadline{};
+};
+
+/*! @brief Whether an offered request runs, waits, or is refused. */
+enum class run_decision : std::uint8_t {
+    /*! @brief It holds a slot. */
+    run,
+    /*! @brief It waits. */
+    wait,
+    /*! @brief It is not run: its answer would come too late. */
+    refuse,
+};
+
+/**
+ * @brief Order and bound of the requests that wait for one target. Not synchronised, reads no clock.
+ *
+ * Answers the load of all entry nodes together, because every request for the target passes its node. A
+ * request is refused as soon as it is clear that it cannot be answered inside its objective (or, if the
+ * objective has passed already, before its deadline), so that the wait of others stays short.
+ */
+class run_queue {
+public:
+    /**
+     * @brief Sets the number of slots.
+     * @param count Requests that run at the same time; 0 stops new work.
+     */
+    void set_slots(std::uint32_t count) noexcept
+    {
+        this->slots = count;
+    }
+
+    /**
+     * @brief Offers a request.
+     * @param request Request.
+     * @param now Current time.
+     * @return The decision.
+     */
+    [[nodiscard]] run_decision offer(const run_request& request, timestamp now);
+
+    /**
+     * @brief Frees the slot of a request.
+     * @param id Id of the request.
+     * @param answered True if the target answered, so that its time counts for the estimate.
+     * @param now Current time.
+     */
+    void finish(std::uint64_t id, bool answered, timestamp now);
+
+    /**
+     * @brief Starts the next waiting request for which there is a slot.
+     * @param now Current time.
+     * @return Id of the request, which now holds a slot; nothing if none can start.
+     */
+    [[nodiscard]] std::optional<std::uint64_t> start_next(timestamp now);
+
+    /**
+     * @brief Removes the waiting requests that can no longer be answered in time.
+     * @param now Current time.
+     * @return Ids of the requests; they were not run.
+     */
+    [[nodiscard]] std::vector<std::uint64_t> expire(timestamp now);
+
+    /**
+     * @brief Removes a waiting request.
+     * @param id Id of the request.
+     * @return True if it waited.
+     */
+    bool remove(std::uint64_t id);
+
+    /**
+     * @brief Removes all waiting requests.
+     * @return Ids of the requests; they were not run.
+     */
+    [[nodiscard]] std::vector<std::uint64_t> remove_all();
+
+    /**
+     * @brief Forgets all that was measured of the target, for a new incarnation.
+     */
+    void forget_target() noexcept
+    {
+        this->mean_service = {};
+    }
+
+    /**
+     * @brief Returns the load.
+     * @return The load.
+     */
+    [[nodiscard]] target_load load() const noexcept;
+
+    /**
+     * @brief Estimates when a request refused now would find room.
+     * @return Time from now.
+     */
+    [[nodiscard]] microseconds time_to_room() const noexcept;
+
+private:
+    /*! @brief Order of start: rank, then the time left, then the order of arrival. */
+    using place = std::tuple<std::uint32_t, timestamp, std::uint64_t>;
+
+    [[nodiscard]] static place place_of(const run_request& request) noexcept;
+    [[nodiscard]] bool can_finish(const run_request& request, microseconds wait,
+                                  timestamp now) const noexcept;
+    [[nodiscard]] microseconds wait_behind(std::size_t ahead) const noexcept;
+
+    std::uint32_t slots{};
+    microseconds mean_service{};
+    std::unordered_map<std::uint64_t, timestamp> running{};
+    std::map<place, run_request> waiting{};
+    std::unordered_map<std::uint64_t, place> places{};
+};
+
+/**
+ * @brief Returns the latest time at which an answer is worth waiting for.
+ * @param request Request.
+ * @param now Current time.
+ * @return The objective while it can be met, the deadline after that and for inner calls.
+ */
+[[nodiscard]] timestamp useful_until(const run_request& request, timestamp now) noexcept;
+
+} // namespace kumquatdrift
+
+#endif
--- /dev/null
+++ b/src/gateway/http_server.hpp
@@ -0,0 +1,112 @@
+#ifndef KUMQUATDRIFT_GATEWAY_HTTP_SERVER_HPP
+#define KUMQUATDRIFT_GATEWAY_HTTP_SERVER_HPP
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <kumquatdrift/core/result.hpp>
+#include <kumquatdrift/http/message.hpp>
+#include <kumquatdrift/mesh/config.hpp>
+
+#include "stream.hpp"
+
+namespace kumquatdrift {
+
+class http_server;
+class http_session;
+
+/*! @brief One request that waits for its answer. Kept by whoever will answer it. */
+class http_exchange {
+public:
+    /*! @brief The request. */
+    http_message request{};
+    /*! @brief Address of the caller. */
+    std::string caller_ip{};
+    /*! @brief Arrival of the first byte. */
+    timestamp arrived{};
+    /*! @brief Called once if the caller leaves before the answer. */
+    std::function<void()> on_gone{};
+
+    /**
+     * @brief Answers. Only the first call counts.
+     * @param answer Answer.
+     * @param close True to end the connection with it.
+     */
+    void respond(const http_answer& answer, bool close = false);
+
+    /*! @brief Checks whether the caller has left or been answered. */
+    [[nodiscard]] bool is_over() const noexcept
+    {
+        return this->session.expired();
+    }
+
+private:
+    friend class http_session;
+    std::weak_ptr<http_session> session{};
+};
+
+/*! @brief Shared reference to an exchange. */
+using http_exchange_ptr = std::shared_ptr<http_exchange>;
+
+/*! @brief HTTP/1.1 server on the event loop. */
+class http_server {
+public:
+    /*! @brief Receives each whole request. */
+    using handler = std::function<void(const http_exchange_ptr&)>;
+
+    /**
+     * @brief Constructs a server that does not listen.
+     * @param loop Event loop.
+     * @param limits Returns the bounds on callers in force.
+     * @param max_connections Connections above which new ones are closed.
+     * @param handle Receives requests.
+     */
+    http_server(event_loop& loop, std::function<caller_limits()> limits, std::size_t max_connections,
+                handler handle);
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    /**
+     * @brief Listens.
+     * @param address Address.
+     * @return The address with the port in use, or why it cannot listen.
+     */
+    [[nodiscard]] result<socket_address> listen(const socket_address& address);
+
+    /*! @brief Ends each connection with its next answer; idle ones stay open for requests under way. */
+    void start_draining() noexcept
+    {
+        this->draining = true;
+    }
+
+    /*! @brief Closes all connections and stops to listen. */
+    void close();
+
+    /*! @brief Returns the number of connections. */
+    [[nodiscard]] std::size_t connections() const noexcept
+    {
+        return this->sessions.size();
+    }
+
+private:
+    friend class http_session;
+    void accept();
+
+    event_loop& loop;
+    std::function<caller_limits()> limits;
+    std::size_t max_connections;
+    handler handle;
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::unordered_set<std::shared_ptr<http_session>> sessions{};
+    bool draining{};
+};
+
+} // namespace kumquatdrift
+
+#endif
--- /dev/null
+++ b/src/gateway/loop.cpp
@@ -0,0 +1,88 @@
+#include "loop.hpp"
+
+#include <utility>
+
+namespace kumquatdrift {
+
+event_loop::event_loop()
+{
+    this->wait();
+}
+
+event_loop::timer_id event_loop::at(timestamp when, std::function<void()> function)
+{
+    const auto id = ++this->last_id;
+    this->queue.emplace(when, id);
+    this->timers.emplace(id, std::pair{when, std::move(function)});
+    return id;
+}
+
+void event_loop::cancel(timer_id id)
+{
+    const auto found = this->timers.find(id);
+    if (found == this->timers.end()) {
+        return;
+    }
+    const auto [first, last] = this->queue.equal_range(found->second.first);
+    for (auto entry = first; entry != last; ++entry) {
+        if (entry->second == id) {
+            this->queue.erase(entry);
+            break;
+        }
+    }
+    this->timers.erase(found);
+}
+
+void event_loop::on_tick(std::function<void(timestamp)> function)
+{
+    this->tickers.push_back(std::move(function));
+}
+
+void event_loop::on_suspension(std::function<void(microseconds)> function)
+{
+    this->wakers.push_back(std::move(function));
+}
+
+void event_loop::run()
+{
+    this->io.run();
+}
+
+void event_loop::stop()
+{
+    this->io.stop();
+}
+
+void event_loop::wait()
+{
+    this->clock.expires_after(tick_interval);
+    this->clock.async_wait([this](const boost::system::error_code& error) {
+        if (!error) {
+            this->tick();
+            this->wait();
+        }
+    });
+}
+
+void event_loop::tick()
+{
+    const auto now = boot_now();
+    if (const auto gap = now - this->last_tick; gap > suspension_gap) {
+        for (const auto& waker : this->wakers) {
+            waker(gap);
+        }
+    }
+    this->last_tick = now;
+    while (!this->queue.empty() && this->queue.begin()->first <= now) {
+        const auto id = this->queue.begin()->second;
+        this->queue.erase(this->queue.begin());
+        auto function = std::move(this->timers.at(id).second);
+        this->timers.erase(id);
+        function();
+    }
+    for (const auto& ticker : this->tickers) {
+        ticker(now);
+    }
+}
+
+} // namespace kumquatdrift
--- /dev/null
+++ b/src/gateway/peer_link.cpp
@@ -0,0 +1,74 @@
+#include "peer_link.hpp"
+
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "hop_codec.hpp"
+
+namespace kumquatdrift {
+
+peer_link::peer_link(event_loop& owner, stream::pointer stream)
+    : heard_at{boot_now()}, loop{owner}, connection{std::move(stream)}
+{
+    this->connection->set_read_limit(max_frame_bytes + stream::default_read_limit);
+}
+
+void peer_link::start(frame_callback frame, lost_callback lost)
+{
+    this->on_frame = std::move(frame);
+    this->on_lost = std::move(lost);
+    this->connection->start([self = shared_from_this()](std::string& buffer) { self->on_data(buffer); },
+                            [self = shared_from_this()](bool, const std::string& cause) {
+                                if (const auto callback = std::exchange(self->on_lost, nullptr)) {
+                                    callback(self, cause);
+                                }
+                            });
+}
+
+void peer_link::send(const hop::Frame& frame)
+{
+    append_frame(frame, this->output);
+    if (!this->flush_posted) {
+        this->flush_posted = true;
+        boost::asio::post(this->loop.context(), [self = shared_from_this()] { self->flush(); });
+    }
+}
+
+void peer_link::flush()
+{
+    this->flush_posted = false;
+    this->connection->send(this->output);
+    this->output.clear();
+}
+
+void peer_link::close()
+{
+    this->on_lost = {};
+    this->on_frame = {};
+    this->connection->close();
+}
+
+void peer_link::on_data(std::string& buffer)
+{
+    const auto self = shared_from_this();
+    this->heard_at = boot_now();
+    std::size_t offset{};
+    hop::Frame frame{};
+    auto status = frame_status::complete;
+    while (this->is_open() && (status = read_frame(buffer, offset, frame)) == frame_status::complete) {
+        const auto callback = this->on_frame;
+        if (callback) {
+            callback(self, frame);
+        }
+    }
+    buffer.erase(0, offset);
+    if (status == frame_status::invalid && this->is_open()) {
+        this->connection->close();
+        if (const auto callback = std::exchange(this->on_lost, nullptr)) {
+            callback(self, "a frame that cannot be decoded");
+        }
+    }
+}
+
+} // namespace kumquatdrift
--- /dev/null
+++ b/src/gateway/stream.cpp
@@ -0,0 +1,251 @@
+#include "stream.hpp"
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+
+namespace kumquatdrift {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+/*! @brief Seconds of silence before the kernel probes an idle peer. A peer that lost power is found within
+ *         four seconds, where the default takes hours. */
+constexpr int keep_alive_idle_s = 2;
+/*! @brief Seconds between two probes. */
+constexpr int keep_alive_interval_s = 1;
+/*! @brief Unanswered probes after which the peer is gone. */
+constexpr int keep_alive_probes = 2;
+/*! @brief Milliseconds for which sent bytes may stay unacknowledged. */
+constexpr int unacknowledged_ms = 4'000;
+/*! @brief Bytes read at once. */
+constexpr std::size_t chunk_size = 65'536;
+/*! @brief Reads in a row from one connection, so that others get their turn. */
+constexpr int reads_in_a_row = 4;
+
+template<int Level, int Name>
+using integer_option = boost::asio::detail::socket_option::integer<Level, Name>;
+
+} // namespace
+
+result<socket_address> parse_address(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    std::uint16_t port{};
+    if (colon != std::string_view::npos) {
+        const auto* end = text.data() + text.size();
+        const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
+        error_code invalid{};
+        boost::asio::ip::make_address_v4(std::string{text.substr(0, colon)}, invalid);
+        if (error == std::errc{} && stop == end && port != 0 && !invalid) {
+            return socket_address{std::string{text.substr(0, colon)}, port};
+        }
+    }
+    return failure{"'" + std::string{text} + "' is not of the form IP:PORT"};
+}
+
+stream::stream(event_loop& owner, tcp::socket connection) : loop{owner}, socket{std::move(connection)} {}
+
+stream::pointer stream::adopt(event_loop& loop, tcp::socket socket)
+{
+    auto one = std::make_shared<stream>(loop, std::move(socket));
+    error_code error{};
+    one->ip = one->socket.remote_endpoint(error).address().to_string();
+    one->open = !error;
+    one->prepare();
+    return one;
+}
+
+stream::pointer stream::connect(event_loop& loop, const socket_address& address, microseconds timeout,
+                                std::function<void(const std::string&)> done)
+{
+    auto one = std::make_shared<stream>(loop, tcp::socket{loop.context()});
+    one->ip = address.ip;
+    const auto callback = std::make_shared<std::function<void(const std::string&)>>(std::move(done));
+    one->connect_timer = loop.at(boot_now() + timeout, [one, callback] {
+        const auto function = std::move(*callback);
+        one->close();
+        function("connect timed out");
+    });
+    error_code invalid{};
+    const tcp::endpoint peer{boost::asio::ip::make_address_v4(address.ip, invalid), address.port};
+    one->socket.async_connect(peer, [one, callback](const error_code& error) {
+        if (one->connect_timer == 0 || !*callback) {
+            return;
+        }
+        one->loop.cancel(std::exchange(one->connect_timer, 0));
+        const auto function = std::move(*callback);
+        if (error) {
+            one->close();
+        }
+        else {
+            one->open = true;
+            one->prepare();
+        }
+        function(error ? error.message() : "");
+    });
+    return one;
+}
+
+void stream::prepare()
+{
+    error_code ignored{};
+    this->socket.non_blocking(true, ignored);
+    this->socket.set_option(tcp::no_delay{true}, ignored);
+    this->socket.set_option(boost::asio::socket_base::keep_alive{true}, ignored);
+    this->socket.set_option(integer_option<IPPROTO_TCP, TCP_KEEPIDLE>{keep_alive_idle_s}, ignored);
+    this->socket.set_option(integer_option<IPPROTO_TCP, TCP_KEEPINTVL>{keep_alive_interval_s}, ignored);
+    this->socket.set_option(integer_option<IPPROTO_TCP, TCP_KEEPCNT>{keep_alive_probes}, ignored);
+    this->socket.set_option(integer_option<IPPROTO_TCP, TCP_USER_TIMEOUT>{unacknowledged_ms}, ignored);
+}
+
+void stream::start(data_callback data, closed_callback closed)
+{
+    this->on_data = std::move(data);
+    this->on_closed = std::move(closed);
+    this->wait_readable();
+}
+
+void stream::wait_readable()
+{
+    if (!this->open || this->reading || this->input.size() >= read_limit) {
+        return;
+    }
+    this->reading = true;
+    this->socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& error) {
+        self->reading = false;
+        if (!self->open) {
+            return;
+        }
+        if (error) {
+            self->fail(false, error.message());
+            return;
+        }
+        self->read();
+    });
+}
+
+void stream::read()
+{
+    const auto self = shared_from_this();
+    std::array<char, chunk_size> chunk; // NOLINT(cppcoreguidelines-pro-type-member-init): filled by the read
+    for (int turn = 0; turn < reads_in_a_row && this->input.size() < read_limit; ++turn) {
+        error_code error{};
+        const auto count = this->socket.read_some(boost::asio::buffer(chunk), error);
+        if (error == boost::asio::error::would_block) {
+            break;
+        }
+        if (error) {
+            if (!this->input.empty()) {
+                this->deliver();
+            }
+            if (this->open) {
+                this->fail(error == boost::asio::error::eof, error.message());
+            }
+            return;
+        }
+        this->input.append(chunk.data(), count);
+        if (count < chunk.size()) {
+            break;
+        }
+    }
+    this->deliver();
+    this->wait_readable();
+}
+
+void stream::deliver()
+{
+    if (this->open && this->on_data && !this->input.empty()) {
+        // A copy, because the callback may replace itself through `start` or `close`.
+        const auto callback = this->on_data;
+        callback(this->input);
+        this->wait_readable();
+    }
+}
+
+void stream::send(std::string_view bytes)
+{
+    if (!this->open) {
+        return;
+    }
+    if (this->output.empty()) {
+        error_code error{};
+        const auto count = this->socket.write_some(boost::asio::buffer(bytes.data(), bytes.size()), error);
+        if (error && error != boost::asio::error::would_block) {
+            // The reader reports the end of the connection, after all that the peer sent before it.
+            return;
+        }
+        bytes.remove_prefix(error ? 0 : count);
+    }
+    this->output.append(bytes);
+    if (!this->output.empty()) {
+        this->write();
+    }
+}
+
+void stream::write()
+{
+    if (this->writing || !this->open) {
+        return;
+    }
+    this->writing = true;
+    this->socket.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const error_code& waited) {
+        self->writing = false;
+        if (!self->open) {
+            return;
+        }
+        error_code error{waited};
+        const auto count = error ? 0 : self->socket.write_some(boost::asio::buffer(self->output), error);
+        if (error && error != boost::asio::error::would_block) {
+            self->fail(false, error.message());
+            return;
+        }
+        self->output.erase(0, count);
+        if (!self->output.empty()) {
+            self->write();
+        }
+        else if (self->closing) {
+            self->close();
+        }
+    });
+}
+
+void stream::fail(bool orderly, const std::string& cause)
+{
+    const auto self = shared_from_this();
+    const auto callback = this->on_closed;
+    this->close();
+    if (callback) {
+        callback(orderly, cause);
+    }
+}
+
+void stream::close()
+{
+    const auto self = weak_from_this().lock();
+    if (this->connect_timer != 0) {
+        this->loop.cancel(std::exchange(this->connect_timer, 0));
+    }
+    this->open = false;
+    this->on_data = {};
+    this->on_closed = {};
+    error_code ignored{};
+    this->socket.close(ignored);
+}
+
+void stream::close_when_sent()
+{
+    this->closing = true;
+    if (this->output.empty()) {
+        this->close();
+    }
+}
+
+} // namespace kumquatdrift
--- /dev/null
+++ b/src/traffic/placement.cpp
@@ -0,0 +1,96 @@
+#include <kumquatdrift/traffic/placement.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace kumquatdrift {
+namespace {
+
+/*! @brief Service time assumed until a node reports one; a middling request of today's services. */
+constexpr microseconds assumed_service{100'000};
+
+/*! @brief Factor on the service time of a cold target. */
+constexpr double cold_factor = 2.0;
+
+/*! @brief Random part of the expected time, so that nodes with equal reports spread. */
+constexpr double spread = 0.1;
+
+/*! @brief Shortest time after which a refused caller may return: less than one service time. */
+constexpr milliseconds shortest_return{50};
+
+/*! @brief Longest time after which a refused caller may return. */
+constexpr milliseconds longest_return{5'000};
+
+double seconds(microseconds time) noexcept
+{
+    return std::chrono::duration<double>{time}.count();
+}
+
+struct expectation {
+    double wait{};
+    double service{};
+};
+
+expectation expect(const placement_candidate& candidate) noexcept
+{
+    const auto& load = candidate.load;
+    const auto service = seconds(load.service_time.count() > 0 ? load.service_time : assumed_service) *
+                         (candidate.cold_left.count() > 0 ? cold_factor : 1.0);
+    const auto busy = static_cast<double>(load.running) + load.waiting + candidate.sent_since_load;
+    const auto slots = std::max(1.0, static_cast<double>(load.slots));
+    const auto backlog = std::max(0.0, busy + 1.0 - slots);
+    return {service * backlog / slots, service};
+}
+
+} // namespace
+
+placement place_request(std::span<const placement_candidate> candidates, microseconds objective_left,
+                        microseconds useful_left, const placement_settings& settings, random_engine& rng)
+{
+    placement best{};
+    auto best_cost = std::numeric_limits<double>::infinity();
+    auto shortest_wait = std::numeric_limits<double>::infinity();
+    const auto scale = seconds(std::max(objective_left, microseconds{0}));
+    const auto useful = seconds(useful_left);
+    std::uniform_real_distribution<double> noise{1.0, 1.0 + spread};
+    const auto any_sound = std::any_of(candidates.begin(), candidates.end(),
+                                       [](const placement_candidate& one) { return !one.ejected; });
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const auto& candidate = candidates[index];
+        if (candidate.load.slots == 0 || (candidate.ejected && any_sound)) {
+            continue;
+        }
+        const auto expected = expect(candidate);
+        shortest_wait = std::min(shortest_wait, expected.wait);
+        if (expected.wait > 0.0 && expected.wait + expected.service / 2 > useful) {
+            continue;
+        }
+        const auto distance =
+            candidate.own ? 0.0
+                          : scale * (candidate.local ? settings.other_node : settings.other_data_centre);
+        // Among targets with room, the one with more free slots is likelier to still have one on arrival.
+        const auto fill = static_cast<double>(candidate.load.running + candidate.sent_since_load) /
+                          std::max(1U, candidate.load.slots);
+        const auto cost = (expected.wait + expected.service * (1.0 + 0.2 * fill)) * noise(rng) + distance;
+        if (cost < best_cost) {
+            best_cost = cost;
+            best.candidate = index;
+        }
+    }
+    if (!best.candidate) {
+        best.time_to_room = shortest_wait < 1e6
+                                ? microseconds{static_cast<microseconds::rep>(shortest_wait * 1e6)}
+                                : std::chrono::duration_cast<microseconds>(longest_return) / 10;
+    }
+    return best;
+}
+
+milliseconds draw_retry_after(microseconds time_to_room, random_engine& rng)
+{
+    const auto base =
+        std::clamp(std::chrono::ceil<milliseconds>(time_to_room), shortest_return, longest_return);
+    const auto jitter = std::chrono::duration_cast<milliseconds>(full_jitter(rng, base * 2));
+    return std::min(base + jitter, longest_return);
+}
+
+} // namespace kumquatdrift
