Keep the acknowledgement of a leave, end a drain without cutting, rank calls of running requests first

Calls by targets come from the same address as callers, so that the address told nothing; the id of a call begins with the id of the request that the target runs, which is checked against what runs. Ruled out: a stale view at entry nodes (the target's own node passed the requests on).

--- a/include/kumquatdrift/gateway/platform.hpp
+++ b/include/kumquatdrift/gateway/platform.hpp
@@ -79,6 +79,13 @@
      */
     [[nodiscard]] virtual std::optional<target_health> decode_health(const http_message& answer) const = 0;
 
+    /**
+     * @brief Finds the request on whose behalf a target makes a call.
+     * @param attempt Id of the call.
+     * @return Id of the request that the target would be running; empty if the id tells of none.
+     */
+    [[nodiscard]] virtual std::string parent_of(const std::string& attempt) const = 0;
+
     /**
      * @brief Checks whether a request is the readiness check.
      * @param request Request.
--- a/src/gateway/entry.cpp
+++ b/src/gateway/entry.cpp
@@ -61,6 +61,10 @@
     const auto& fields = exchange->request.fields;
     const auto* host = find_field(fields, "Host");
     const auto* id = find_field(fields, this->shared.platform.headers().attempt_id);
+    if (this->stopping) {
+        this->reject(exchange, 503, "node_stops");
+        return;
+    }
     if (!this->routes) {
         this->reject(exchange, 503, "no_configuration");
         return;
@@ -113,7 +117,8 @@
     order->objective = exchange.arrived + route.objective;
     order->priority = route.priority;
     order->repeatable = route.kind == request_kind::repeatable;
-    order->inner = exchange.caller_ip == this->shared.settings.ip || exchange.caller_ip.starts_with("127.");
+    const auto parent = this->shared.platform.parent_of(order->attempt);
+    order->inner = !parent.empty() && this->shared.host.is_running(parent);
     order->caller_service = this->shared.settings.service;
     order->lines = end_to_end_lines(
         message.fields, {headers.time_left_ms, headers.expected_instance, headers.caller_service});
--- a/src/gateway/entry.hpp
+++ b/src/gateway/entry.hpp
@@ -70,6 +70,12 @@
      */
     void on_request(const http_exchange_ptr& exchange);
 
+    /*! @brief Refuses requests from now on, so that the open ones can end. */
+    void stop_taking() noexcept
+    {
+        this->stopping = true;
+    }
+
     /*! @brief Answers all requests that are still open, before the process ends. */
     void give_up_all();
 
@@ -124,6 +130,7 @@
     retry_share retries;
     std::unordered_set<request_ptr> requests{};
     latency_histogram& seconds;
+    bool stopping{};
 };
 
 } // namespace kumquatdrift
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,9 +24,10 @@
 namespace kumquatdrift {
 namespace {
 
-/*! @brief Time for which callers may still come after the request to stop: two failed readiness checks, one a
- *         second, and the requests that were on their way. */
-constexpr microseconds shortest_drain{3'200'000};
+/*! @brief Time for which requests are still taken after the request to stop: two failed readiness checks, one
+ *         a second, and the requests that were on their way. Callers may come for longer, if many nodes stop.
+ */
+constexpr microseconds taking_after_stop{2'600'000};
 /*! @brief Time between the request to stop and the refusal of requests of other nodes, which hear of it. */
 constexpr microseconds serving_after_stop{500'000};
 /*! @brief Time before the kill at which all open requests are answered. */
@@ -323,8 +324,11 @@
             this->callers.give_up_all();
             this->loop.stop();
         }
-        else if (since >= shortest_drain && idle) {
-            this->loop.stop();
+        else if (since >= taking_after_stop) {
+            this->callers.stop_taking();
+            if (idle) {
+                this->loop.stop();
+            }
         }
     }
 
--- a/src/gateway/target_host.cpp
+++ b/src/gateway/target_host.cpp
@@ -55,10 +55,12 @@
 
 bool target_host::on_report(const target_report& report)
 {
-    // A liveness check does not tell the time of birth.
+    // A liveness check and some leaves tell neither birth nor sequence.
     const auto same = report.instance == this->current.instance &&
-                      (report.born == this->current.born || this->current.born == 0);
-    const auto older = same ? report.sequence <= this->current.sequence : report.born < this->current.born;
+                      (report.born == this->current.born || this->current.born == 0 || report.born == 0);
+    const auto unordered = same && report.state == report_state::gone && report.sequence == 0;
+    const auto older =
+        same ? !unordered && report.sequence <= this->current.sequence : report.born < this->current.born;
     if (older && this->reported_at) {
         this->shared.log.write(
             log_level::info, event_class::state, "target", "old_report",
@@ -175,6 +177,7 @@
         return;
     }
     pending.started = true;
+    this->running_attempts.insert(order.attempt);
     pending.began = now;
     const auto left = std::chrono::duration_cast<milliseconds>(order.deadline - now).count();
     std::string lines{order.lines};
@@ -321,6 +324,7 @@
     if (node_handle.empty()) {
         return;
     }
+    this->forget_attempt(node_handle.mapped());
     outcome.load = this->load();
     outcome.instance = this->current.instance;
     if (outcome.end != run_end::answered) {
@@ -335,6 +339,14 @@
     node_handle.mapped().done(std::move(outcome));
 }
 
+void target_host::forget_attempt(const pending_run& pending)
+{
+    if (const auto found = this->running_attempts.find(pending.order->attempt);
+        pending.started && found != this->running_attempts.end()) {
+        this->running_attempts.erase(found);
+    }
+}
+
 void target_host::cancel(std::uint64_t id)
 {
     const auto node_handle = this->runs.extract(id);
@@ -342,6 +354,7 @@
         return;
     }
     const auto& pending = node_handle.mapped();
+    this->forget_attempt(pending);
     if (pending.started) {
         this->client.cancel(pending.call);
         this->shared.quarantine.on_ended(pending.order->fingerprint, this->node);
--- a/src/gateway/target_host.hpp
+++ b/src/gateway/target_host.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include <kumquatdrift/gateway/platform.hpp>
@@ -86,6 +87,16 @@
      */
     void cancel(std::uint64_t id);
 
+    /**
+     * @brief Checks whether the target runs a request now.
+     * @param attempt Id that the caller gave it.
+     * @return True if it does.
+     */
+    [[nodiscard]] bool is_running(const std::string& attempt) const
+    {
+        return this->running_attempts.contains(attempt);
+    }
+
     /*! @brief Returns the last report; its state is `unknown` while the target cannot be used. */
     [[nodiscard]] const target_report& report() const noexcept
     {
@@ -124,6 +135,7 @@
     [[nodiscard]] run_result classify(const run_order& order, call_result& outcome) const;
     void refuse(std::uint64_t id, const std::string& cause);
     void end(std::uint64_t id, run_result outcome);
+    void forget_attempt(const pending_run& pending);
     void on_unreachable(const std::string& cause);
     void on_died();
     void set_state(report_state state, const std::string& cause);
@@ -139,6 +151,7 @@
     socket_address fallback{};
     std::optional<timestamp> reported_at{};
     std::unordered_map<std::uint64_t, pending_run> runs{};
+    std::unordered_multiset<std::string> running_attempts{};
     std::vector<lost_run> lately_lost{};
     std::uint64_t last_id{};
     latency_histogram& run_seconds;
