--- /dev/null
+++ b/tests/gateway/hop_codec.cpp
@@ -0,0 +1,83 @@
+#include <gateway/hop_codec.hpp>
+
+#include <gtest/gtest.h>
+
+namespace kumquatdrift {
+namespace {
+
+TEST(hop_frame, bytes_one_by_one_give_frame)
+{
+    hop::Frame sent{};
+    sent.mutable_cancel()->set_id(7);
+    std::string bytes{};
+    append_frame(sent, bytes);
+    hop::Frame received{};
+    std::size_t offset{};
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+        ASSERT_EQ(read_frame(bytes.substr(0, size), offset, received), frame_status::need_more);
+    }
+    ASSERT_EQ(read_frame(bytes, offset, received), frame_status::complete);
+    EXPECT_EQ(received.cancel().id(), 7U);
+    EXPECT_EQ(offset, bytes.size());
+}
+
+TEST(hop_frame, rubbish_and_overlong_frames_are_invalid)
+{
+    hop::Frame frame{};
+    std::size_t offset{};
+    EXPECT_EQ(read_frame("\xff\xff\xff\xff", offset, frame), frame_status::invalid);
+    EXPECT_EQ(read_frame(std::string{"\0\0\0\2\xff\xff", 6}, offset, frame), frame_status::invalid);
+}
+
+TEST(hop_order, round_trip_keeps_any_bytes_and_time_left)
+{
+    const timestamp sent_at{std::chrono::seconds{10}};
+    const timestamp received_at{std::chrono::seconds{99}};
+    run_order order{};
+    order.service = "s";
+    order.attempt = "id\xff";
+    order.method = "PUT";
+    order.target = "/\xfe\x01";
+    order.lines = "A: b\r\n";
+    order.body = std::string("\0\xff", 2);
+    order.deadline = sent_at + milliseconds{700};
+    order.objective = sent_at - milliseconds{5};
+    order.inner = true;
+    order.repeatable = true;
+    hop::Frame frame{};
+    encode(order, sent_at, *frame.mutable_run());
+    std::string bytes{};
+    append_frame(frame, bytes);
+    std::size_t offset{};
+    ASSERT_EQ(read_frame(bytes, offset, frame), frame_status::complete);
+    const auto decoded = decode(*frame.mutable_run(), received_at);
+    EXPECT_EQ(decoded->attempt, order.attempt);
+    EXPECT_EQ(decoded->target, order.target);
+    EXPECT_EQ(decoded->body, order.body);
+    EXPECT_EQ(decoded->deadline, received_at + milliseconds{700});
+    EXPECT_EQ(decoded->objective, received_at);
+    EXPECT_TRUE(decoded->inner);
+    EXPECT_TRUE(decoded->repeatable);
+}
+
+TEST(hop_answer, unknown_end_promises_nothing)
+{
+    hop::Answer answer{};
+    answer.set_end(200);
+    EXPECT_EQ(verdict_of(decode(answer).end), verdict::may_have_run);
+}
+
+TEST(hop_member, record_without_address_is_refused)
+{
+    hop::Member message{};
+    message.set_node("n");
+    EXPECT_FALSE(decode(message));
+    message.set_ip("10.0.0.1");
+    message.set_port(7'000);
+    message.set_state(77);
+    ASSERT_TRUE(decode(message));
+    EXPECT_EQ(decode(message)->state, report_state::unknown);
+}
+
+} // namespace
+} // namespace kumquatdrift
--- /dev/null
+++ b/tests/gateway/target_host.cpp
@@ -0,0 +1,213 @@
+#include <map>
+#include <optional>
+
+#include <gtest/gtest.h>
+
+#include <support/gateway_world.hpp>
+
+namespace kumquatdrift {
+namespace {
+
+class target_host_with_target : public testing::Test {
+protected:
+    target_host_with_target()
+    {
+        this->host.set_address(this->target.address);
+        EXPECT_TRUE(this->host.on_report(report_of(report_state::ready, 5)));
+    }
+
+    std::uint64_t run(const run_order_ptr& order)
+    {
+        return this->host.run(order, [this, id = order->attempt](run_result result) {
+            this->results.emplace(id, std::move(result));
+        });
+    }
+
+    [[nodiscard]] const run_result& result_of(const std::string& attempt)
+    {
+        EXPECT_TRUE(this->world.run_until([&] { return this->results.contains(attempt); })) << attempt;
+        return this->results[attempt];
+    }
+
+    gateway_world world{};
+    scripted_target target{this->world.loop};
+    int changes{};
+    target_host host{{this->world.loop, this->world.platform, this->world.log, this->world.metrics,
+                      this->world.quarantine},
+                     "node",
+                     std::chrono::seconds{60},
+                     [this] { ++this->changes; }};
+    std::map<std::string, run_result> results{};
+};
+
+TEST_F(target_host_with_target, sound_answer_is_passed_on_with_instance_and_time_left)
+{
+    this->target.on_request = [](const http_exchange_ptr& exchange) { scripted_target::answer(exchange); };
+    this->run(order_of("r1"));
+    const auto& result = this->result_of("r1");
+    EXPECT_EQ(result.end, run_end::answered);
+    EXPECT_EQ(result.status, 200U);
+    EXPECT_EQ(result.body, "done");
+    const auto& fields = this->target.seen.front()->request.fields;
+    EXPECT_EQ(*find_field(fields, "X-Expect"), "i-1");
+    EXPECT_EQ(*find_field(fields, "X-Caller"), "caller");
+    EXPECT_LE(std::stoi(*find_field(fields, "X-Left")), 1'000);
+}
+
+TEST_F(target_host_with_target, leave_without_sequence_and_birth_stops_requests)
+{
+    auto leave = report_of(report_state::gone, 0, 0);
+    leave.service.clear();
+    EXPECT_TRUE(this->host.on_report(leave));
+    this->run(order_of("r1"));
+    EXPECT_EQ(this->result_of("r1").end, run_end::refused);
+    EXPECT_EQ(this->result_of("r1").cause, "target_gone");
+    EXPECT_TRUE(this->target.seen.empty());
+}
+
+TEST_F(target_host_with_target, late_report_of_ready_does_not_undo_draining)
+{
+    EXPECT_TRUE(this->host.on_report(report_of(report_state::draining, 7)));
+    EXPECT_FALSE(this->host.on_report(report_of(report_state::ready, 6)));
+    EXPECT_TRUE(this->host.on_report(report_of(report_state::ready, 8)));
+    EXPECT_EQ(this->host.report().state, report_state::draining);
+}
+
+TEST_F(target_host_with_target, report_of_earlier_incarnation_is_ignored)
+{
+    EXPECT_TRUE(this->host.on_report(report_of(report_state::ready, 1, 2'000, "i-2")));
+    EXPECT_FALSE(this->host.on_report(report_of(report_state::draining, 9, 1'000, "i-1")));
+    EXPECT_EQ(this->host.report().instance, "i-2");
+    EXPECT_EQ(this->host.report().state, report_state::ready);
+}
+
+TEST_F(target_host_with_target, same_id_born_again_starts_afresh)
+{
+    EXPECT_TRUE(this->host.on_report(report_of(report_state::draining, 9)));
+    EXPECT_TRUE(this->host.on_report(report_of(report_state::ready, 1, 2'000)));
+    EXPECT_EQ(this->host.report().state, report_state::ready);
+}
+
+TEST_F(target_host_with_target, requests_beyond_slots_wait)
+{
+    for (const auto* id : {"r1", "r2", "r3"}) {
+        this->run(order_of(id));
+    }
+    EXPECT_TRUE(this->world.run_until([this] { return this->target.seen.size() == 2; }));
+    this->world.run_for(milliseconds{50});
+    EXPECT_EQ(this->target.seen.size(), 2U);
+    scripted_target::answer(this->target.seen.front());
+    EXPECT_TRUE(this->world.run_until([this] { return this->target.seen.size() == 3; }));
+}
+
+TEST_F(target_host_with_target, waiting_requests_are_refused_when_target_drains)
+{
+    for (const auto* id : {"r1", "r2", "r3"}) {
+        this->run(order_of(id));
+    }
+    EXPECT_TRUE(this->world.run_until([this] { return this->target.seen.size() == 2; }));
+    EXPECT_TRUE(this->host.on_report(report_of(report_state::draining, 6)));
+    EXPECT_EQ(this->result_of("r3").end, run_end::refused);
+    scripted_target::answer(this->target.seen[0]);
+    EXPECT_EQ(this->result_of("r1").end, run_end::answered);
+}
+
+TEST_F(target_host_with_target, cancel_closes_connection_to_target)
+{
+    const auto id = this->run(order_of("r1"));
+    EXPECT_TRUE(this->world.run_until([this] { return this->target.seen.size() == 1; }));
+    this->host.cancel(id);
+    EXPECT_TRUE(this->world.run_until([this] { return this->target.seen.front()->is_over(); }));
+    EXPECT_EQ(this->host.load().running, 0U);
+    EXPECT_TRUE(this->results.empty());
+}
+
+TEST_F(target_host_with_target, answer_to_another_request_is_dropped)
+{
+    this->target.on_request = [](const http_exchange_ptr& exchange) {
+        exchange->respond({200, "", "X-Id: other\r\nX-Signature: s\r\n", "foreign"});
+    };
+    auto order = std::make_shared<run_order>(*order_of("r1"));
+    order->deadline = boot_now() + milliseconds{200};
+    this->run(order);
+    EXPECT_EQ(this->result_of("r1").end, run_end::timed_out);
+}
+
+/*! @brief An answer, and what becomes of it. */
+struct odd_answer {
+    unsigned status{};
+    std::string lines{};
+    run_end end{};
+};
+
+class target_host_with_odd_answer : public target_host_with_target,
+                                    public testing::WithParamInterface<odd_answer> {};
+
+TEST_P(target_host_with_odd_answer, gets_a_true_verdict)
+{
+    this->target.on_request = [](const http_exchange_ptr& exchange) {
+        exchange->respond({GetParam().status, "", GetParam().lines, ""});
+    };
+    this->run(order_of("r1"));
+    EXPECT_EQ(this->result_of("r1").end, GetParam().end);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    answers, target_host_with_odd_answer,
+    testing::Values(odd_answer{503, "X-Not-Run: 1\r\n", run_end::shed}, odd_answer{421, "", run_end::shed},
+                    odd_answer{503, "X-Id: r1\r\nX-Signature: s\r\n", run_end::malformed},
+                    odd_answer{429, "X-Id: r1\r\nX-Signature: s\r\n", run_end::malformed},
+                    odd_answer{500, "X-Id: r1\r\nX-Signature: s\r\n", run_end::answered},
+                    odd_answer{200, "X-Id: r1\r\n", run_end::malformed},
+                    odd_answer{200, "X-Signature: s\r\n", run_end::malformed},
+                    odd_answer{200, "X-Id: r1\r\nX-Signature: s\r\nContent-Encoding: gzip\r\n",
+                               run_end::malformed}));
+
+TEST_F(target_host_with_target, refused_connection_means_not_run_and_target_unknown)
+{
+    this->target.server.close();
+    this->run(order_of("r1"));
+    EXPECT_EQ(this->result_of("r1").end, run_end::refused);
+    EXPECT_EQ(this->host.report().state, report_state::unknown);
+    EXPECT_TRUE(this->host.on_report(report_of(report_state::ready, 6)));
+    EXPECT_EQ(this->host.report().state, report_state::ready);
+}
+
+TEST_F(target_host_with_target, closed_connection_may_have_run)
+{
+    this->target.on_request = [this](const http_exchange_ptr&) { this->target.server.close(); };
+    this->run(order_of("r1"));
+    EXPECT_EQ(this->result_of("r1").end, run_end::lost);
+    EXPECT_EQ(verdict_of(run_end::lost), verdict::may_have_run);
+}
+
+TEST_F(target_host_with_target, running_request_is_known_by_its_id)
+{
+    this->run(order_of("r1"));
+    EXPECT_TRUE(this->world.run_until([this] { return this->target.seen.size() == 1; }));
+    EXPECT_TRUE(this->host.is_running("r1"));
+    scripted_target::answer(this->target.seen.front());
+    (void)this->result_of("r1");
+    EXPECT_FALSE(this->host.is_running("r1"));
+}
+
+TEST(target_host_after_start, health_check_tells_instance_and_slots)
+{
+    gateway_world world{};
+    scripted_target target{world.loop};
+    target.on_request = [](const http_exchange_ptr& exchange) { scripted_target::answer(exchange); };
+    target_host host{{world.loop, world.platform, world.log, world.metrics, world.quarantine},
+                     "node",
+                     std::chrono::seconds{60},
+                     [] {}};
+    host.set_address(target.address);
+    host.check_health("service", "/health");
+    EXPECT_TRUE(world.run_until([&] { return host.report().state == report_state::ready; }));
+    EXPECT_EQ(host.load().slots, 2U);
+    // The first report of the same target continues it, although the check told no birth.
+    EXPECT_TRUE(host.on_report(report_of(report_state::ready, 1)));
+    EXPECT_EQ(host.report().state, report_state::ready);
+}
+
+} // namespace
+} // namespace kumquatdrift
--- /dev/null
+++ b/tests/http/message.cpp
@@ -0,0 +1,124 @@
+#include <kumquatdrift/http/message.hpp>
+
+#include <gtest/gtest.h>
+
+namespace kumquatdrift {
+namespace {
+
+class http_reader_of_requests : public testing::Test {
+protected:
+    read_progress feed(std::string bytes)
+    {
+        this->buffer += bytes;
+        return this->reader.feed(this->buffer);
+    }
+
+    std::string buffer{};
+    http_reader reader{http_reader::kind::request, 1'024, 100};
+};
+
+TEST_F(http_reader_of_requests, bytes_one_by_one_give_message)
+{
+    const std::string text{"POST /a?b HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc"};
+    for (std::size_t index = 0; index + 1 < text.size(); ++index) {
+        ASSERT_EQ(this->feed(text.substr(index, 1)), read_progress::need_more);
+    }
+    ASSERT_EQ(this->feed("c"), read_progress::complete);
+    const auto message = this->reader.take();
+    EXPECT_EQ(message.method, "POST");
+    EXPECT_EQ(message.target, "/a?b");
+    EXPECT_EQ(message.body, "abc");
+    EXPECT_TRUE(message.keep_alive);
+}
+
+TEST_F(http_reader_of_requests, chunks_are_joined_and_trailers_dropped)
+{
+    ASSERT_EQ(
+        this->feed(
+            "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\nX: y\r\n\r\n"),
+        read_progress::complete);
+    const auto message = this->reader.take();
+    EXPECT_EQ(message.body, "abc");
+    EXPECT_EQ(find_field(message.fields, "X"), nullptr);
+}
+
+TEST_F(http_reader_of_requests, second_request_stays_in_buffer)
+{
+    ASSERT_EQ(this->feed("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n"), read_progress::complete);
+    EXPECT_EQ(this->reader.take().target, "/1");
+    ASSERT_EQ(this->feed(""), read_progress::complete);
+    EXPECT_EQ(this->reader.take().target, "/2");
+}
+
+TEST_F(http_reader_of_requests, two_lengths_are_refused)
+{
+    EXPECT_EQ(
+        this->feed("POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+        read_progress::failed);
+    EXPECT_EQ(this->reader.failure_status(), 400U);
+}
+
+TEST_F(http_reader_of_requests, large_body_is_refused_by_its_length)
+{
+    EXPECT_EQ(this->feed("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n"), read_progress::failed);
+    EXPECT_EQ(this->reader.failure_status(), 413U);
+}
+
+TEST_F(http_reader_of_requests, large_head_is_refused)
+{
+    EXPECT_EQ(this->feed("GET / HTTP/1.1\r\nX: " + std::string(2'000, 'x')), read_progress::failed);
+    EXPECT_EQ(this->reader.failure_status(), 431U);
+}
+
+class http_reader_of_answers : public testing::Test {
+protected:
+    read_progress feed(std::string bytes)
+    {
+        return this->reader.feed(bytes);
+    }
+
+    http_reader reader{http_reader::kind::answer, 1'024, 1'000};
+};
+
+TEST_F(http_reader_of_answers, body_without_length_ends_with_its_connection)
+{
+    ASSERT_EQ(this->feed("HTTP/1.1 200 OK\r\n\r\nabc"), read_progress::need_more);
+    ASSERT_EQ(this->reader.end_of_stream(), read_progress::complete);
+    const auto message = this->reader.take();
+    EXPECT_EQ(message.body, "abc");
+    EXPECT_FALSE(message.keep_alive);
+}
+
+TEST_F(http_reader_of_answers, cut_body_is_no_answer)
+{
+    ASSERT_EQ(this->feed("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc"), read_progress::need_more);
+    EXPECT_EQ(this->reader.end_of_stream(), read_progress::failed);
+}
+
+TEST_F(http_reader_of_answers, cut_head_is_no_answer)
+{
+    ASSERT_EQ(this->feed("HTTP/1.1 200 OK\r\nCont"), read_progress::need_more);
+    EXPECT_EQ(this->reader.end_of_stream(), read_progress::failed);
+}
+
+TEST_F(http_reader_of_answers, rubbish_fails)
+{
+    EXPECT_EQ(this->feed("\x01\x02rubbish\r\n\r\n"), read_progress::failed);
+}
+
+TEST(forwarded_fields, fields_of_one_connection_are_left_out)
+{
+    const http_fields fields{{"Connection", "close, X-Hop"}, {"X-Hop", "1"},   {"Keep-Alive", "timeout=5"},
+                             {"Content-Length", "3"},        {"X-Own", "old"}, {"Accept", "*/*"}};
+    EXPECT_EQ(end_to_end_lines(fields, {"x-own"}), "Accept: */*\r\n");
+}
+
+TEST(written_answer, length_matches_body)
+{
+    EXPECT_EQ(write_answer({503, "", "Retry-After: 0.200\r\n", "no"}, true, false),
+              "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.200\r\nContent-Length: 2\r\nConnection: "
+              "close\r\n\r\nno");
+}
+
+} // namespace
+} // namespace kumquatdrift
--- /dev/null
+++ b/tests/mesh/members.cpp
@@ -0,0 +1,75 @@
+#include <kumquatdrift/mesh/members.hpp>
+
+#include <gtest/gtest.h>
+
+namespace kumquatdrift {
+namespace {
+
+constexpr timestamp now{std::chrono::seconds{9}};
+
+member_record record_of(std::uint64_t started_ms, std::uint64_t revision, std::uint16_t port = 7'000)
+{
+    member_record record{};
+    record.node = "belem-1";
+    record.ip = "127.0.0.1";
+    record.port = port;
+    record.started_ms = started_ms;
+    record.revision = revision;
+    record.instance = "i-" + std::to_string(revision);
+    return record;
+}
+
+class members : public testing::Test {
+protected:
+    [[nodiscard]] std::string instance()
+    {
+        return this->table.find("belem-1")->record.instance;
+    }
+
+    member_table table{};
+};
+
+TEST_F(members, older_hearsay_is_ignored)
+{
+    EXPECT_TRUE(this->table.learn(record_of(1'000, 5), member_table::origin::hearsay, now));
+    EXPECT_FALSE(this->table.learn(record_of(1'000, 4), member_table::origin::hearsay, now));
+    EXPECT_EQ(this->instance(), "i-5");
+    (void)this->table.learn(record_of(2'000, 1), member_table::origin::hearsay, now);
+    EXPECT_EQ(this->instance(), "i-1");
+}
+
+TEST_F(members, node_itself_is_right_also_after_its_clock_went_back)
+{
+    (void)this->table.learn(record_of(5'000, 9), member_table::origin::link, now);
+    (void)this->table.learn(record_of(3'000, 1), member_table::origin::link, now);
+    EXPECT_EQ(this->instance(), "i-1");
+}
+
+TEST_F(members, hearsay_does_not_change_reachable_node)
+{
+    (void)this->table.learn(record_of(1'000, 1), member_table::origin::link, now);
+    this->table.find("belem-1")->reachable = true;
+    EXPECT_FALSE(this->table.learn(record_of(9'000, 9), member_table::origin::hearsay, now));
+    EXPECT_EQ(this->instance(), "i-1");
+}
+
+TEST_F(members, store_moves_unreachable_node_only)
+{
+    (void)this->table.learn(record_of(1'000, 1), member_table::origin::link, now);
+    EXPECT_TRUE(this->table.learn(record_of(2'000, 0, 7'001), member_table::origin::store, now));
+    this->table.find("belem-1")->reachable = true;
+    EXPECT_FALSE(this->table.learn(record_of(3'000, 0, 7'002), member_table::origin::store, now));
+    EXPECT_EQ(this->table.find("belem-1")->record.port, 7'001);
+}
+
+TEST_F(members, load_ends_count_of_requests_since_then)
+{
+    (void)this->table.learn(record_of(1'000, 1), member_table::origin::link, now);
+    this->table.find("belem-1")->sent_since_load = 4;
+    this->table.on_load("belem-1", {2, 0, 8, milliseconds{50}}, now);
+    EXPECT_EQ(this->table.find("belem-1")->sent_since_load, 0U);
+    EXPECT_EQ(this->table.find("belem-1")->record.load.running, 2U);
+}
+
+} // namespace
+} // namespace kumquatdrift
--- /dev/null
+++ b/tests/mesh/route_index.cpp
@@ -0,0 +1,94 @@
+#include <kumquatdrift/mesh/route_index.hpp>
+
+#include <map>
+
+#include <gtest/gtest.h>
+
+namespace kumquatdrift {
+namespace {
+
+mesh_route route_of(std::string host, std::string prefix, std::vector<route_part> parts)
+{
+    mesh_route route{};
+    route.name = host + prefix;
+    route.host = std::move(host);
+    route.prefix = std::move(prefix);
+    route.parts = std::move(parts);
+    return route;
+}
+
+class routes_by_host : public testing::Test {
+protected:
+    routes_by_host()
+    {
+        auto config = std::make_shared<mesh_config>();
+        config->routes = {route_of("desk.example", "/a/", {{"first", 1.0}}),
+                          route_of("desk.example", "/a/b/", {{"second", 1.0}}),
+                          route_of("other.example", "/", {{"third", 1.0}})};
+        this->index = std::make_unique<route_index>(config);
+    }
+
+    [[nodiscard]] std::string find(std::string_view host, std::string_view target) const
+    {
+        const auto* route = this->index->find(host, target);
+        return route == nullptr ? "none" : route->parts.front().service;
+    }
+
+    std::unique_ptr<route_index> index{};
+};
+
+TEST_F(routes_by_host, longest_prefix_wins)
+{
+    EXPECT_EQ(this->find("desk.example", "/a/b/c"), "second");
+    EXPECT_EQ(this->find("desk.example", "/a/bc"), "first");
+    EXPECT_EQ(this->find("desk.example", "/a/b/"), "second");
+}
+
+TEST_F(routes_by_host, host_ignores_case_and_port)
+{
+    EXPECT_EQ(this->find("DESK.example:8080", "/a/x"), "first");
+}
+
+TEST_F(routes_by_host, path_outside_all_prefixes_has_no_route)
+{
+    EXPECT_EQ(this->find("desk.example", "/b/"), "none");
+    EXPECT_EQ(this->find("desk.example", "/a"), "none");
+    EXPECT_EQ(this->find("desk.example", ""), "none");
+    EXPECT_EQ(this->find("unknown.example", "/a/"), "none");
+}
+
+TEST_F(routes_by_host, query_is_no_path)
+{
+    EXPECT_EQ(this->find("desk.example", "/a/x?to=/a/b/"), "first");
+    EXPECT_EQ(this->find("other.example", "/?x"), "third");
+}
+
+TEST(parts_by_weight, any_hundred_requests_follow_the_weights)
+{
+    const auto route = route_of("desk.example", "/a/", {{"first", 90.0}, {"second", 10.0}});
+    part_chooser chooser{};
+    for (int round = 0; round < 5; ++round) {
+        std::map<std::string, int> given{};
+        for (int turn = 0; turn < 100; ++turn) {
+            ++given[chooser.choose(route)];
+        }
+        EXPECT_EQ(given["first"], 90);
+        EXPECT_EQ(given["second"], 10);
+    }
+}
+
+TEST(parts_by_weight, new_weights_start_evenly)
+{
+    part_chooser chooser{};
+    (void)chooser.choose(route_of("desk.example", "/a/", {{"first", 1.0}, {"second", 1.0}}));
+    const auto route = route_of("desk.example", "/a/", {{"first", 0.2}, {"third", 0.8}});
+    std::map<std::string, int> given{};
+    for (int turn = 0; turn < 10; ++turn) {
+        ++given[chooser.choose(route)];
+    }
+    EXPECT_EQ(given["first"], 2);
+    EXPECT_EQ(given["third"], 8);
+}
+
+} // namespace
+} // namespace kumquatdrift
--- /dev/null
+++ b/tests/platform/decode.cpp
@@ -0,0 +1,203 @@
+#include <platform/decode.hpp>
+
+#include <map>
+
+#include <gtest/gtest.h>
+
+namespace kumquatdrift::platform {
+namespace {
+
+std::string config_text(const std::string& routes, const std::string& version = "0000000c")
+{
+    return R"({"version":")" + version +
+           R"(","services":[{"name":"s1","health_path":"/health","max_connections":120}],
+        "limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_s":3,"idle_timeout_s":15.5},
+        "virtual_hosts":[{"host":"Desk.example","paths":)" +
+           routes + "}]}";
+}
+
+constexpr const char* plain_route =
+    R"([{"name":"r1","path_prefix":"/a/","kind":"idempotent","timeout_s":1.5,"target_latency_s":0.4,)"
+    R"("priority":2,"service":"s1","max_attempts":3}])";
+
+TEST(decoded_config, whole_configuration_is_decoded)
+{
+    const auto config = decode_config(config_text(plain_route));
+    ASSERT_TRUE(config) << config.last_reason();
+    EXPECT_EQ((*config)->version, 12U);
+    ASSERT_EQ((*config)->routes.size(), 1U);
+    const auto& route = (*config)->routes.front();
+    EXPECT_EQ(route.host, "desk.example");
+    EXPECT_EQ(route.timeout, milliseconds{1'500});
+    EXPECT_EQ(route.objective, milliseconds{400});
+    EXPECT_EQ(route.kind, request_kind::repeatable);
+    EXPECT_EQ(route.max_attempts, 3U);
+    EXPECT_EQ(route.priority, 2U);
+    EXPECT_EQ((*config)->limits.idle_timeout, milliseconds{15'500});
+    EXPECT_EQ((*config)->limits.max_body_bytes, 1'000U);
+}
+
+TEST(decoded_config, split_gives_parts_with_weights)
+{
+    const auto config =
+        decode_config(config_text(R"([{"name":"r1","path_prefix":"/a/","kind":"upload","timeout_s":1,
+            "traffic_split":[{"service":"s1","weight":3},{"service":"s1","weight":0}]}])"));
+    ASSERT_TRUE(config) << config.last_reason();
+    ASSERT_EQ((*config)->routes.front().parts.size(), 1U);
+    EXPECT_EQ((*config)->routes.front().parts.front().weight, 3.0);
+}
+
+/*! @brief A text that cannot be used, and a part of the reason. */
+struct bad_config {
+    std::string text{};
+    std::string reason{};
+};
+
+class decode_bad_config : public testing::TestWithParam<bad_config> {};
+
+TEST_P(decode_bad_config, none_of_it_is_used)
+{
+    const auto config = decode_config(GetParam().text);
+    ASSERT_FALSE(config);
+    EXPECT_NE(config.last_reason().find(GetParam().reason), std::string::npos) << config.last_reason();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cases, decode_bad_config,
+    testing::Values(
+        bad_config{"\xff\x00rubbish", "not a JSON object"}, bad_config{"[]", "not a JSON object"},
+        bad_config{R"({"version":12})", "version"},
+        bad_config{config_text(plain_route, "00000000"), "version"},
+        bad_config{config_text(plain_route, "xyz"), "version"},
+        bad_config{
+            config_text(
+                R"([{"name":"r1","path_prefix":"/a/","kind":"idempotent","timeout_s":1,"service":"s9"}])"),
+            "unknown service 's9'"},
+        bad_config{
+            config_text(
+                R"([{"name":"r1","path_prefix":"a","kind":"idempotent","timeout_s":1,"service":"s1"}])"),
+            "path_prefix"},
+        bad_config{
+            config_text(R"([{"name":"r1","path_prefix":"/a/","kind":"odd","timeout_s":1,"service":"s1"}])"),
+            "unknown kind"},
+        bad_config{
+            config_text(
+                R"([{"name":"r1","path_prefix":"/a/","kind":"idempotent","timeout_s":-1,"service":"s1"}])"),
+            "timeout_s"}));
+
+http_message report_request(std::string call, std::string body)
+{
+    http_message request{};
+    request.method = "POST";
+    request.target = "/rpc?call=instances." + call + "&of=i-7f3a";
+    request.body = std::move(body);
+    return request;
+}
+
+TEST(decoded_report, heartbeat_tells_state_and_slots)
+{
+    const auto report = decode_report(report_request(
+        "heartbeat",
+        R"({"service":"s1","address":"10.0.0.9:80","slots":12,"state":"draining","cold_left_s":1.5,
+        "sequence":4,"born":1768629288033,"new_member":[1]})"));
+    ASSERT_TRUE(report) << report.last_reason();
+    EXPECT_EQ(report->instance, "i-7f3a");
+    EXPECT_EQ(report->state, report_state::draining);
+    EXPECT_EQ(report->slots, 12U);
+    EXPECT_EQ(report->cold_left, milliseconds{1'500});
+    EXPECT_EQ(report->sequence, 4U);
+    EXPECT_EQ(report->born, 1'768'629'288'033U);
+}
+
+TEST(decoded_report, leave_without_body_means_gone)
+{
+    const auto report = decode_report(report_request("deregister", ""));
+    ASSERT_TRUE(report) << report.last_reason();
+    EXPECT_EQ(report->state, report_state::gone);
+}
+
+TEST(decoded_report, wrong_types_name_no_target)
+{
+    EXPECT_FALSE(
+        decode_report(report_request("heartbeat", R"({"service":"s1","slots":"12","state":"ready"})")));
+    EXPECT_FALSE(decode_report(report_request("heartbeat", R"({"service":7,"slots":12,"state":"ready"})")));
+    EXPECT_FALSE(decode_report(report_request("heartbeat", R"({"service":"s1","slots":12,"state":"odd"})")));
+    EXPECT_FALSE(decode_report(report_request("heartbeat", "\xff")));
+    EXPECT_FALSE(decode_report(report_request("other", "{}")));
+}
+
+class keyed_records : public testing::Test {
+protected:
+    [[nodiscard]] record_callback keep()
+    {
+        return [this](std::string_view key, std::optional<std::string_view> value) {
+            this->records[std::string{key}] = value ? std::string{*value} : "dropped";
+        };
+    }
+
+    static std::string head(char end)
+    {
+        std::string bytes(16, '\0');
+        bytes[7] = end;
+        return bytes;
+    }
+
+    std::map<std::string, std::string> records{};
+};
+
+TEST_F(keyed_records, records_of_read_are_decoded)
+{
+    const auto position =
+        decode_records(head(5) + encode_record("a", "1") + encode_record("b", ""), 3, this->keep());
+    ASSERT_TRUE(position) << position.last_reason();
+    EXPECT_EQ(position->end, 5U);
+    EXPECT_EQ(position->next, 5U);
+    EXPECT_EQ(this->records, (std::map<std::string, std::string>{{"a", "1"}, {"b", "dropped"}}));
+}
+
+TEST_F(keyed_records, cut_record_fails_the_read)
+{
+    const auto record = encode_record("a", "1");
+    EXPECT_FALSE(decode_records(head(1) + record.substr(0, record.size() - 1), 0, this->keep()));
+    EXPECT_FALSE(decode_records("short", 0, this->keep()));
+}
+
+TEST_F(keyed_records, record_without_key_is_passed_over)
+{
+    const std::string foreign{std::string("\0\0\0\2", 4) + "\x09x"};
+    const auto position = decode_records(head(2) + foreign + encode_record("a", "1"), 0, this->keep());
+    ASSERT_TRUE(position);
+    EXPECT_EQ(position->next, 2U);
+    EXPECT_EQ(this->records.size(), 1U);
+}
+
+TEST_F(keyed_records, newest_page_is_decoded)
+{
+    const auto page = decode_newest(
+        R"({"items":[{"key":"a","value":"MTIz","offset":4},{"key":7},{"key":"b","value":"eA=="}],"has_more":true,"end":9})",
+        this->keep());
+    ASSERT_TRUE(page) << page.last_reason();
+    EXPECT_EQ(page->end, 9U);
+    EXPECT_EQ(page->more_after, "b");
+    EXPECT_EQ(this->records, (std::map<std::string, std::string>{{"a", "123"}, {"b", "x"}}));
+}
+
+TEST(decoded_member, round_trip_keeps_address)
+{
+    member_record record{};
+    record.node = "n1";
+    record.data_centre = "dc";
+    record.ip = "10.0.0.1";
+    record.port = 7'000;
+    record.service = "s1";
+    record.started_ms = 5;
+    const auto decoded = decode_member(encode_member(record));
+    ASSERT_TRUE(decoded) << decoded.last_reason();
+    EXPECT_EQ(decoded->node, "n1");
+    EXPECT_EQ(decoded->port, 7'000);
+    EXPECT_FALSE(decode_member(R"({"node":"n1","ip":"x","port":70000})"));
+    EXPECT_FALSE(decode_member("\xfe"));
+}
+
+} // namespace
+} // namespace kumquatdrift::platform
--- /dev/null
+++ b/tests/support/gateway_world.hpp
@@ -0,0 +1,164 @@
+#ifndef KUMQUATDRIFT_TESTS_SUPPORT_GATEWAY_WORLD_HPP
+#define KUMQUATDRIFT_TESTS_SUPPORT_GATEWAY_WORLD_HPP
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <fcntl.h>
+
+#include <gateway/http_server.hpp>
+#include <gateway/target_host.hpp>
+#include <kumquatdrift/core/boot_clock.hpp>
+#include <kumquatdrift/gateway/platform.hpp>
+
+namespace kumquatdrift {
+
+/*! @brief Platform of tests: the header names only. */
+class bare_platform : public mesh_platform {
+public:
+    [[nodiscard]] const wire_headers& headers() const noexcept override
+    {
+        return this->names;
+    }
+
+    [[nodiscard]] result<mesh_config_ptr> decode_config(const std::string&) const override
+    {
+        return failure{"no configuration here"};
+    }
+
+    [[nodiscard]] result<target_report> decode_report(const http_message&) const override
+    {
+        return failure{"no report here"};
+    }
+
+    [[nodiscard]] std::optional<target_health> decode_health(const http_message& answer) const override
+    {
+        return answer.status == 200 ? std::optional{target_health{"i-1", 2}} : std::nullopt;
+    }
+
+    [[nodiscard]] std::string parent_of(const std::string& attempt) const override
+    {
+        const auto dot = attempt.rfind('.');
+        return dot == std::string::npos ? "" : attempt.substr(0, dot);
+    }
+
+    [[nodiscard]] bool is_ready_check(const http_message&) const override
+    {
+        return true;
+    }
+
+    void watch(platform_events) override {}
+    void announce(const member_record&) override {}
+    void refresh() override {}
+
+private:
+    wire_headers names{"X-Id", "X-Left", "X-Signature", "X-Expect", "X-Caller", "X-Not-Run", "X-Load"};
+};
+
+/*! @brief A target in the event loop of the test, whose answers the test decides. */
+class scripted_target {
+public:
+    explicit scripted_target(event_loop& loop)
+        : server{loop, [] { return caller_limits{}; }, 100,
+                 [this](const http_exchange_ptr& exchange) {
+                     this->seen.push_back(exchange);
+                     if (this->on_request) {
+                         this->on_request(exchange);
+                     }
+                 }}
+    {
+        const auto bound = this->server.listen({"127.0.0.1", 0});
+        if (bound) {
+            this->address = *bound;
+        }
+    }
+
+    /*! @brief Answers a request as a sound target does. */
+    static void answer(const http_exchange_ptr& exchange, unsigned status = 200,
+                       const std::string& body = "done")
+    {
+        const auto* id = find_field(exchange->request.fields, "X-Id");
+        exchange->respond(
+            {status, "", "X-Id: " + (id != nullptr ? *id : "") + "\r\nX-Signature: s\r\n", body});
+    }
+
+    socket_address address{};
+    std::vector<http_exchange_ptr> seen{};
+    std::function<void(const http_exchange_ptr&)> on_request{};
+    http_server server;
+};
+
+/*! @brief The parts around a target host, and a loop that runs until a condition holds. */
+class gateway_world {
+public:
+    gateway_world() : log{::open("/dev/null", O_WRONLY), log_level::error} {}
+
+    /**
+     * @brief Runs the loop.
+     * @param done Condition.
+     * @param longest Time after which it gives up.
+     * @return True if the condition held.
+     */
+    [[nodiscard]] bool run_until(const std::function<bool()>& done,
+                                 microseconds longest = std::chrono::seconds{5})
+    {
+        const auto end = boot_now() + longest;
+        while (!done() && boot_now() < end) {
+            this->loop.context().run_one_for(milliseconds{5});
+        }
+        return done();
+    }
+
+    /*! @brief Runs the loop for a time. */
+    void run_for(microseconds time)
+    {
+        (void)this->run_until([] { return false; }, time);
+    }
+
+    event_loop loop{};
+    bare_platform platform{};
+    event_log log;
+    metrics_registry metrics{};
+    crash_quarantine quarantine{};
+};
+
+/**
+ * @brief Makes a report.
+ * @param state State.
+ * @param sequence Number of the report.
+ * @param born Birth of the incarnation.
+ * @param instance Id.
+ * @return The report.
+ */
+[[nodiscard]] inline target_report report_of(report_state state, std::uint64_t sequence,
+                                             std::uint64_t born = 1'000, std::string instance = "i-1")
+{
+    return {std::move(instance), "service", "", state, 2, {}, born, sequence};
+}
+
+/**
+ * @brief Makes an order with a second to run.
+ * @param attempt Id of the request.
+ * @param repeatable True if it may run more than once.
+ * @return The order.
+ */
+[[nodiscard]] inline run_order_ptr order_of(std::string attempt, bool repeatable = true)
+{
+    auto order = std::make_shared<run_order>();
+    order->service = "service";
+    order->lines = "X-Id: " + attempt + "\r\n";
+    order->attempt = std::move(attempt);
+    order->method = "GET";
+    order->target = "/a/b";
+    order->deadline = boot_now() + std::chrono::seconds{1};
+    order->objective = order->deadline;
+    order->repeatable = repeatable;
+    order->caller_service = "caller";
+    return order;
+}
+
+} // namespace kumquatdrift
+
+#endif
--- /dev/null
+++ b/tests/traffic/placement.cpp
@@ -0,0 +1,142 @@
+#include <kumquatdrift/traffic/placement.hpp>
+
+#include <array>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include <kumquatdrift/traffic/retry_share.hpp>
+
+namespace kumquatdrift {
+namespace {
+
+placement_candidate target_of(std::uint32_t running, bool own, bool local)
+{
+    return {"node", {running, 0, 10, milliseconds{100}}, 0, own, local, false, microseconds{0}};
+}
+
+class placing : public testing::Test {
+protected:
+    [[nodiscard]] placement place(const std::vector<placement_candidate>& candidates,
+                                  milliseconds useful = milliseconds{400})
+    {
+        return place_request(candidates, milliseconds{400}, useful, this->settings, this->rng);
+    }
+
+    placement_settings settings{};
+    random_engine rng{7};
+};
+
+TEST_F(placing, room_everywhere_chooses_own_host)
+{
+    EXPECT_EQ(this->place({target_of(0, false, false), target_of(0, false, true), target_of(0, true, true)})
+                  .candidate,
+              2U);
+}
+
+TEST_F(placing, own_data_centre_with_room_is_preferred)
+{
+    for (int turn = 0; turn < 100; ++turn) {
+        EXPECT_EQ(this->place({target_of(0, false, false), target_of(9, false, true)}).candidate, 1U);
+    }
+}
+
+TEST_F(placing, overloaded_data_centre_sends_across)
+{
+    auto busy = target_of(10, false, true);
+    busy.load.waiting = 35;
+    EXPECT_EQ(this->place({target_of(2, false, false), busy}).candidate, 0U);
+}
+
+TEST_F(placing, requests_sent_since_report_count)
+{
+    auto first = target_of(0, false, true);
+    first.sent_since_load = 30;
+    EXPECT_EQ(this->place({first, target_of(10, false, true)}).candidate, 1U);
+}
+
+TEST_F(placing, no_target_in_time_tells_when_there_is_room)
+{
+    auto busy = target_of(10, false, true);
+    busy.load.waiting = 49;
+    const auto chosen = this->place({busy});
+    EXPECT_FALSE(chosen.candidate);
+    EXPECT_EQ(chosen.time_to_room, milliseconds{500});
+}
+
+TEST_F(placing, ejected_target_is_last_resort)
+{
+    auto failed = target_of(0, true, true);
+    failed.ejected = true;
+    EXPECT_EQ(this->place({failed, target_of(9, false, false)}).candidate, 1U);
+    EXPECT_EQ(this->place({failed}).candidate, 0U);
+}
+
+TEST_F(placing, slow_target_gets_less)
+{
+    auto slow = target_of(0, false, true);
+    slow.load.service_time = milliseconds{300};
+    for (int turn = 0; turn < 100; ++turn) {
+        EXPECT_EQ(this->place({slow, target_of(5, false, true)}).candidate, 1U);
+    }
+}
+
+TEST_F(placing, equal_targets_share_the_load)
+{
+    std::array<int, 2> sent{};
+    for (int turn = 0; turn < 1'000; ++turn) {
+        ++sent.at(*this->place({target_of(0, false, true), target_of(0, false, true)}).candidate);
+    }
+    EXPECT_GT(sent[0], 400);
+    EXPECT_GT(sent[1], 400);
+}
+
+TEST_F(placing, returns_of_refused_callers_spread)
+{
+    milliseconds lowest{10'000};
+    milliseconds highest{0};
+    for (int turn = 0; turn < 1'000; ++turn) {
+        const auto time = draw_retry_after(milliseconds{300}, this->rng);
+        lowest = std::min(lowest, time);
+        highest = std::max(highest, time);
+    }
+    EXPECT_GE(lowest, milliseconds{300});
+    EXPECT_LE(highest, milliseconds{900});
+    EXPECT_GT(highest - lowest, milliseconds{500});
+}
+
+/*! @brief The bound of today: a fifth of the requests and 60 in ten seconds, shared by ten nodes. */
+class retry_share_of_ten_nodes : public testing::Test {
+protected:
+    static constexpr std::size_t nodes = 10;
+    static constexpr timestamp start{std::chrono::seconds{50}};
+    static constexpr retry_bound bound{0.2, 60.0, std::chrono::seconds{10}};
+};
+
+TEST_F(retry_share_of_ten_nodes, all_failing_stays_inside_bound_of_all_nodes)
+{
+    retry_share share{bound};
+    // 100 requests a second to one service, each repeated as often as allowed.
+    int requests{};
+    int repeats{};
+    for (auto now = start; now < start + bound.window; now += milliseconds{10}) {
+        share.on_request("service", nodes);
+        ++requests;
+        while (share.try_take("service", nodes, now)) {
+            ++repeats;
+        }
+    }
+    EXPECT_LE(repeats * static_cast<int>(nodes),
+              static_cast<int>(bound.ratio * requests * static_cast<int>(nodes) + bound.extra));
+    EXPECT_GT(repeats, requests / 20);
+}
+
+TEST_F(retry_share_of_ten_nodes, one_service_does_not_spend_for_another)
+{
+    retry_share share{bound};
+    while (share.try_take("first", nodes, start)) {}
+    EXPECT_TRUE(share.try_take("second", nodes, start));
+}
+
+} // namespace
+} // namespace kumquatdrift
