--- a/include/kumquatdrift/traffic/placement.hpp
+++ b/include/kumquatdrift/traffic/placement.hpp
@@ -30,6 +30,8 @@
     bool ejected{};
     /*! @brief Time for which it stays slow after its start. */
     microseconds cold_left{};
+    /*! @brief Share of the latest requests that it failed, from 0 to 1. */
+    double failed{};
 };
 
 /*! @brief Prices of distance, as the time for which a request would rather wait close by. */
@@ -37,7 +39,7 @@
     /*! @brief For a target on another node of the same data centre, as a share of the objective. */
     double other_node{0.02};
     /*! @brief For a target in another data centre, as a share of the objective. */
-    double other_data_centre{0.25};
+    double other_data_centre{0.6};
 };
 
 /*! @brief Where to send a request. */
