Serve the calls of one request together, leave a share of starts to less urgent requests, count failing targets as slow

Calls of one request were served and refused one by one, so that a request failed although half of its calls had run. Ruled out: too few slots used (the ateliers were full all the while). Open: targets that joined still get nothing from other nodes (their cold time never ends at other nodes), and 500 of a target is repeated although all its peers fail alike.

--- a/include/kumquatdrift/mesh/members.hpp
+++ b/include/kumquatdrift/mesh/members.hpp
@@ -14,6 +14,7 @@
 #include <kumquatdrift/core/enum_names.hpp>
 #include <kumquatdrift/core/time.hpp>
 #include <kumquatdrift/mesh/fwd.hpp>
+#include <kumquatdrift/traffic/failure_share.hpp>
 
 namespace kumquatdrift {
 
@@ -117,8 +118,12 @@
     std::uint32_t in_flight{};
     /*! @brief Its target is avoided until this time. */
     timestamp ejected_until{};
+    /*! @brief True once this node has sent it a request. */
+    bool used{};
     /*! @brief Consecutive failures of its target. */
     std::uint32_t failures{};
+    /*! @brief Share of the latest requests that its target failed. */
+    failure_share failed{};
 };
 
 /*! @brief All nodes that this node knows, by name, without itself. Not synchronised. */
--- a/include/kumquatdrift/traffic/fwd.hpp
+++ b/include/kumquatdrift/traffic/fwd.hpp
@@ -38,6 +38,7 @@
 
 struct retry_bound;
 class retry_share;
+class failure_share;
 
 } // namespace kumquatdrift
 
--- a/include/kumquatdrift/traffic/placement.hpp
+++ b/include/kumquatdrift/traffic/placement.hpp
@@ -32,6 +32,8 @@
     microseconds cold_left{};
     /*! @brief Share of the latest requests that it failed, from 0 to 1. */
     double failed{};
+    /*! @brief True if this node has never sent it a request and this one may be the first. */
+    bool untried{};
 };
 
 /*! @brief Prices of distance, as the time for which a request would rather wait close by. */
@@ -53,6 +55,9 @@
 /**
  * @brief Chooses the target with the earliest expected answer, distance counted as time.
  *
+ * A target that was never tried gets its first request as soon as it has room and is warm, wherever it is, so
+ * that it is known to work before it is needed.
+ *
  * Answers the load of one entry node, from what the targets' nodes reported with their latest answers.
  *
  * @param candidates Targets of the service that take requests and were not tried before.
--- a/include/kumquatdrift/traffic/run_queue.hpp
+++ b/include/kumquatdrift/traffic/run_queue.hpp
@@ -5,8 +5,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <kumquatdrift/core/time.hpp>
@@ -27,6 +29,8 @@
     timestamp objective{};
     /*! @brief Time at which the caller gives up. */
     timestamp deadline{};
+    /*! @brief For an inner call, a hash of the request on whose behalf it is made; 0 for others. */
+    std::uint64_t group{};
 };
 
 /*! @brief Whether an offered request runs, waits, or is refused. */
@@ -45,9 +49,17 @@
  * Answers the load of all entry nodes together, because every request for the target passes its node. A
  * request is refused as soon as it is clear that it cannot be answered inside its objective (or, if the
  * objective has passed already, before its deadline), so that the wait of others stays short.
+ *
+ * Inner calls start first. Among them the hash of their request decides, so that under overload all calls of
+ * one request are served, at whatever targets, or none: a request fails with its first refused call, and the
+ * others were run for nothing. Then requests start by priority; but one start in `share_interval` goes to the
+ * request that is due first, whatever its rank, so that no kind of request starves.
  */
 class run_queue {
 public:
+    /*! @brief One of so many starts from the queue goes to the request that is due first. */
+    static constexpr std::size_t share_interval = 4;
+
     /**
      * @brief Sets the number of slots.
      * @param count Requests that run at the same time; 0 stops new work.
@@ -121,19 +133,26 @@
     [[nodiscard]] microseconds time_to_room() const noexcept;
 
 private:
-    /*! @brief Order of start: rank, then the time left, then the order of arrival. */
-    using place = std::tuple<std::uint32_t, timestamp, std::uint64_t>;
+    /*! @brief Order of start: rank, then the group, the time left, and the order of arrival. */
+    using place = std::tuple<std::uint32_t, std::uint64_t, timestamp, std::uint64_t>;
+    /*! @brief Order of starts that do not go by rank: the time until which an answer is useful. */
+    using due = std::pair<timestamp, std::uint64_t>;
 
     [[nodiscard]] static place place_of(const run_request& request) noexcept;
+    [[nodiscard]] static due due_of(const run_request& request) noexcept;
     [[nodiscard]] bool can_finish(const run_request& request, microseconds wait,
                                   timestamp now) const noexcept;
     [[nodiscard]] microseconds wait_behind(std::size_t ahead) const noexcept;
+    [[nodiscard]] std::size_t starts_before(const run_request& request) const;
+    void erase(std::uint64_t id);
 
     std::uint32_t slots{};
     microseconds mean_service{};
     std::unordered_map<std::uint64_t, timestamp> running{};
     std::map<place, run_request> waiting{};
     std::unordered_map<std::uint64_t, place> places{};
+    std::set<due> by_due{};
+    std::size_t starts{};
 };
 
 /**
--- a/src/gateway/entry.cpp
+++ b/src/gateway/entry.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <kumquatdrift/core/boot_clock.hpp>
+#include <kumquatdrift/core/digest.hpp>
 
 namespace kumquatdrift {
 namespace {
@@ -12,6 +13,9 @@
 /*! @brief Nodes that one request may be offered to. Refusals by nodes cost no target anything, so this only
  *         bounds the time spent. */
 constexpr std::uint32_t max_hops = 4;
+/*! @brief Full targets that one request may meet: the one with the earliest expected answer, and one more in
+ * case that the load was old. */
+constexpr std::uint32_t max_full_targets = 2;
 /*! @brief Failures in a row after which a target is avoided. */
 constexpr std::uint32_t failures_to_eject = 3;
 /*! @brief Time for which it is avoided. */
@@ -119,6 +123,7 @@
     order->repeatable = route.kind == request_kind::repeatable;
     const auto parent = this->shared.platform.parent_of(order->attempt);
     order->inner = !parent.empty() && this->shared.host.is_running(parent);
+    order->group = order->inner ? digest(parent) : 0;
     order->caller_service = this->shared.settings.service;
     order->lines = end_to_end_lines(
         message.fields, {headers.time_left_ms, headers.expected_instance, headers.caller_service});
@@ -134,9 +139,11 @@
 {
     const auto& service = one.order->service;
     std::vector<placement_candidate> found{};
+    const auto may_try = one.order->repeatable && one.hops == 0;
     const auto& own = this->shared.host.report();
     if (own.service == service && own.state == report_state::ready && !one.tried.contains("")) {
-        found.push_back({"", this->shared.host.load(), 0, true, true, false, own.cold_left});
+        found.push_back(
+            {"", this->shared.host.load(), 0, true, true, false, own.cold_left, this->own_failed.at(now)});
     }
     for (const auto& [node, known] : this->shared.others.members().all()) {
         const auto& record = known.record;
@@ -145,7 +152,8 @@
             found.push_back({node, record.load, known.sent_since_load, false,
                              record.data_centre == this->shared.settings.data_centre,
                              known.ejected_until > now,
-                             now - known.load_at < record.cold_left ? record.cold_left : microseconds{0}});
+                             now - known.load_at < record.cold_left ? record.cold_left : microseconds{0},
+                             known.failed.at(now), may_try && !known.used});
         }
     }
     return found;
@@ -161,10 +169,10 @@
         this->refuse(one, one->tried.empty() ? "no_target" : "all_targets_refused: " + one->last_cause);
         return;
     }
-    const auto useful =
-        useful_until({0, order.priority, order.inner, order.objective, order.deadline}, now) - now;
-    const auto chosen = place_request(choices, order.objective - now, useful, this->shared.settings.placement,
-                                      this->shared.rng);
+    // Whether there is time to wait is decided at the target's node, which knows who else waits; only a
+    // request that would wait beyond its end is refused here.
+    const auto chosen = place_request(choices, order.objective - now, order.deadline - now,
+                                      this->shared.settings.placement, this->shared.rng);
     if (!chosen.candidate) {
         one->time_to_room = chosen.time_to_room;
         this->refuse(one, "no_room");
@@ -194,14 +202,26 @@
 
 void entry::observe(const request& one, const run_result& result)
 {
+    if (result.end == run_end::refused || result.end == run_end::unreachable) {
+        return;
+    }
+    const auto failed = result.end != run_end::answered || result.status >= 500;
+    if (one.node.empty()) {
+        if (std::exchange(this->own_instance, result.instance) != result.instance) {
+            this->own_failed = {};
+        }
+        this->own_failed.observe(failed, boot_now());
+        return;
+    }
     auto* known = this->shared.others.members().find(one.node);
     if (known == nullptr) {
         return;
     }
-    if (result.end == run_end::answered && result.status < 500) {
+    known->failed.observe(failed, boot_now());
+    if (!failed) {
         known->failures = 0;
     }
-    else if (result.end != run_end::refused && ++known->failures >= failures_to_eject) {
+    else if (++known->failures >= failures_to_eject) {
         known->failures = 0;
         known->ejected_until = boot_now() + ejection_time;
         this->shared.log.write(log_level::warn, event_class::state, "entry", "target_ejected",
@@ -217,7 +237,7 @@
         return false;
     }
     if (result.end == run_end::refused || result.end == run_end::unreachable) {
-        return !result.cause.starts_with("quarantine");
+        return !result.cause.starts_with("quarantine") && one.full_targets < max_full_targets;
     }
     const auto safe = verdict_of(result.end) == verdict::not_run || one.order->repeatable;
     return safe && one.sent_to_targets < one.route->max_attempts &&
@@ -233,6 +253,9 @@
     one->last_cause = result.cause;
     one->time_to_room = result.time_to_room;
     this->observe(*one, result);
+    if (result.end == run_end::refused && result.cause == queue_full) {
+        ++one->full_targets;
+    }
     const auto reached_target = result.end != run_end::refused && result.end != run_end::unreachable;
     if (reached_target) {
         ++one->sent_to_targets;
--- a/src/gateway/entry.hpp
+++ b/src/gateway/entry.hpp
@@ -96,6 +96,7 @@
         std::string node{};
         std::uint64_t run{};
         std::uint32_t hops{};
+        std::uint32_t full_targets{};
         std::uint32_t sent_to_targets{};
         bool may_have_run{};
         microseconds time_to_room{};
@@ -129,6 +130,8 @@
     part_chooser chooser{};
     retry_share retries;
     std::unordered_set<request_ptr> requests{};
+    failure_share own_failed{};
+    std::string own_instance{};
     latency_histogram& seconds;
     bool stopping{};
 };
--- a/src/gateway/hop_codec.cpp
+++ b/src/gateway/hop_codec.cpp
@@ -118,6 +118,7 @@
     into.set_priority(order.priority);
     into.set_inner(order.inner);
     into.set_repeatable(order.repeatable);
+    into.set_group(order.group);
     into.set_caller_service(order.caller_service);
     into.set_fingerprint(order.fingerprint);
 }
@@ -136,6 +137,7 @@
     order->priority = from.priority();
     order->inner = from.inner();
     order->repeatable = from.repeatable();
+    order->group = from.group();
     order->caller_service = std::move(*from.mutable_caller_service());
     order->fingerprint = from.fingerprint();
     return order;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -313,6 +313,7 @@
     link->awaited.emplace(id, std::move(done));
     ++known->in_flight;
     ++known->sent_since_load;
+    known->used = true;
     return id;
 }
 
--- a/src/gateway/run.hpp
+++ b/src/gateway/run.hpp
@@ -42,6 +42,8 @@
     bool repeatable{};
     /*! @brief Service on the host where it began. */
     std::string caller_service{};
+    /*! @brief For a call of a request that already runs, a hash of that request. */
+    std::uint64_t group{};
     /*! @brief Tells requests apart that may crash targets. */
     std::uint64_t fingerprint{};
 };
@@ -126,6 +128,9 @@
     std::string instance{};
 };
 
+/*! @brief Cause of a refusal by a node whose target has no room in time. */
+inline constexpr const char* queue_full = "queue_full";
+
 /*! @brief Receives the result of an attempt, once. */
 using run_callback = std::function<void(run_result)>;
 
--- a/src/gateway/target_host.cpp
+++ b/src/gateway/target_host.cpp
@@ -20,8 +20,9 @@
 constexpr microseconds fresh_enough{2'000'000};
 /*! @brief Age of an idle connection that may carry any other request; the target's own time goes first. */
 constexpr microseconds any_age{60'000'000};
-/*! @brief Missed reports after which a silent target is taken as gone. */
-constexpr int missed_reports = 3;
+/*! @brief Intervals between reports without a report or an answer after which a target is taken as gone; one
+ * that was only late is used again with its next report. */
+constexpr double silent_intervals = 1.6;
 /*! @brief Time in which a lost connection counts as part of a death that is noticed later. */
 constexpr microseconds same_death{2'000'000};
 /*! @brief Time for a liveness check. */
@@ -150,7 +151,8 @@
     const auto refusal = this->refusal_of(*order);
     const auto decision =
         refusal.empty()
-            ? this->queue.offer({id, order->priority, order->inner, order->objective, order->deadline}, now)
+            ? this->queue.offer(
+                  {id, order->priority, order->inner, order->objective, order->deadline, order->group}, now)
             : run_decision::refuse;
     if (decision == run_decision::run) {
         this->dispatch(id);
@@ -158,7 +160,7 @@
     else if (decision == run_decision::refuse) {
         boost::asio::post(
             this->shared.loop.context(),
-            [this, id, cause = refusal.empty() ? "queue_full" : refusal] { this->refuse(id, cause); });
+            [this, id, cause = refusal.empty() ? queue_full : refusal] { this->refuse(id, cause); });
     }
     return id;
 }
@@ -256,6 +258,9 @@
     const auto& order = *found->second.order;
     auto result = this->classify(order, outcome);
     this->queue.finish(id, result.end == run_end::answered, now);
+    if (outcome.end == call_end::answered) {
+        this->answered_at = now;
+    }
     if (result.end == run_end::answered) {
         this->run_seconds.observe(std::chrono::duration<double>{now - found->second.began}.count());
         this->shared.quarantine.on_success(order.fingerprint, this->node, now);
@@ -380,8 +385,10 @@
         this->refuse(id, "waited_too_long");
     }
     this->start_waiting();
+    const auto longest_silence =
+        std::chrono::duration_cast<microseconds>(this->report_interval * silent_intervals);
     if (this->reported_at && this->current.state == report_state::ready &&
-        now - *this->reported_at > this->report_interval * missed_reports) {
+        now - std::max(*this->reported_at, this->answered_at) > longest_silence) {
         this->set_state(report_state::unknown, "no_report");
     }
 }
--- a/src/gateway/target_host.hpp
+++ b/src/gateway/target_host.hpp
@@ -150,6 +150,7 @@
     target_report current{};
     socket_address fallback{};
     std::optional<timestamp> reported_at{};
+    timestamp answered_at{};
     std::unordered_map<std::uint64_t, pending_run> runs{};
     std::unordered_multiset<std::string> running_attempts{};
     std::vector<lost_run> lately_lost{};
--- a/src/mesh/members.cpp
+++ b/src/mesh/members.cpp
@@ -28,6 +28,8 @@
     if (other_target) {
         known.failures = 0;
         known.ejected_until = {};
+        known.failed = {};
+        known.used = false;
     }
     this->on_load(record.node, record.load, now);
     return moved;
--- a/src/traffic/placement.cpp
+++ b/src/traffic/placement.cpp
@@ -15,6 +15,12 @@
 /*! @brief Random part of the expected time, so that nodes with equal reports spread. */
 constexpr double spread = 0.1;
 
+/*! @brief Part of the service time that a full target costs more than an empty one. */
+constexpr double fill_weight = 0.2;
+
+/*! @brief Cost of a failure in objectives: what it costs to ask again, and more where it cannot be. */
+constexpr double failure_weight = 2.0;
+
 /*! @brief Shortest time after which a refused caller may return: less than one service time. */
 constexpr milliseconds shortest_return{50};
 
@@ -65,13 +71,18 @@
         if (expected.wait > 0.0 && expected.wait + expected.service / 2 > useful) {
             continue;
         }
+        const auto first = candidate.untried && expected.wait == 0.0 && candidate.cold_left.count() <= 0;
+        if (first) {
+            return {index, microseconds{0}};
+        }
         const auto distance =
             candidate.own ? 0.0
                           : scale * (candidate.local ? settings.other_node : settings.other_data_centre);
         // Among targets with room, the one with more free slots is likelier to still have one on arrival.
         const auto fill = static_cast<double>(candidate.load.running + candidate.sent_since_load) /
                           std::max(1U, candidate.load.slots);
-        const auto cost = (expected.wait + expected.service * (1.0 + 0.2 * fill)) * noise(rng) + distance;
+        const auto cost = (expected.wait + expected.service * (1.0 + fill_weight * fill)) * noise(rng) +
+                          distance + scale * failure_weight * candidate.failed;
         if (cost < best_cost) {
             best_cost = cost;
             best.candidate = index;
--- a/src/traffic/run_queue.cpp
+++ b/src/traffic/run_queue.cpp
@@ -28,7 +28,13 @@
 
 run_queue::place run_queue::place_of(const run_request& request) noexcept
 {
-    return {request.inner ? inner_rank : request.priority + 1, request.deadline, request.id};
+    return {request.inner ? inner_rank : request.priority + 1, request.inner ? request.group : 0,
+            request.deadline, request.id};
+}
+
+run_queue::due run_queue::due_of(const run_request& request) noexcept
+{
+    return {std::min(request.objective, request.deadline), request.id};
 }
 
 microseconds run_queue::wait_behind(std::size_t ahead) const noexcept
@@ -48,24 +54,37 @@
     return now + wait + service <= useful_until(request, now);
 }
 
+std::size_t run_queue::starts_before(const run_request& request) const
+{
+    const auto by_rank = static_cast<std::size_t>(
+        std::distance(this->waiting.begin(), this->waiting.lower_bound(place_of(request))));
+    if (request.inner) {
+        return by_rank;
+    }
+    const auto by_due_time = static_cast<std::size_t>(
+        std::distance(this->by_due.begin(), this->by_due.lower_bound(due_of(request))));
+    return std::min(by_rank, (by_due_time + 1) * share_interval);
+}
+
 run_decision run_queue::offer(const run_request& request, timestamp now)
 {
     if (this->slots == 0 || request.deadline <= now || this->running.contains(request.id) ||
         this->places.contains(request.id)) {
         return run_decision::refuse;
     }
-    const auto position = place_of(request);
     if (this->waiting.empty() && this->running.size() < this->slots) {
         this->running.emplace(request.id, now);
         return run_decision::run;
     }
-    const auto ahead =
-        static_cast<std::size_t>(std::distance(this->waiting.begin(), this->waiting.lower_bound(position)));
-    if (!this->can_finish(request, this->wait_behind(ahead), now)) {
+    if (!this->can_finish(request, this->wait_behind(this->starts_before(request)), now)) {
         return run_decision::refuse;
     }
+    const auto position = place_of(request);
     this->waiting.emplace(position, request);
     this->places.emplace(request.id, position);
+    if (!request.inner) {
+        this->by_due.insert(due_of(request));
+    }
     return run_decision::wait;
 }
 
@@ -92,37 +111,42 @@
     if (this->waiting.empty() || this->running.size() >= this->slots) {
         return std::nullopt;
     }
-    const auto first = this->waiting.begin();
-    const auto id = first->second.id;
-    this->places.erase(id);
-    this->waiting.erase(first);
+    const auto goes_by_due = ++this->starts % share_interval == 0 && !this->by_due.empty();
+    const auto id = goes_by_due ? this->by_due.begin()->second : this->waiting.begin()->second.id;
+    this->erase(id);
     this->running.emplace(id, now);
     return id;
 }
 
+void run_queue::erase(std::uint64_t id)
+{
+    const auto found = this->places.find(id);
+    const auto entry = this->waiting.find(found->second);
+    this->by_due.erase(due_of(entry->second));
+    this->waiting.erase(entry);
+    this->places.erase(found);
+}
+
 std::vector<std::uint64_t> run_queue::expire(timestamp now)
 {
     std::vector<std::uint64_t> late{};
-    for (auto entry = this->waiting.begin(); entry != this->waiting.end();) {
-        if (this->can_finish(entry->second, microseconds{0}, now)) {
-            ++entry;
-            continue;
+    for (const auto& [position, request] : this->waiting) {
+        if (!this->can_finish(request, microseconds{0}, now)) {
+            late.push_back(request.id);
         }
-        late.push_back(entry->second.id);
-        this->places.erase(entry->second.id);
-        entry = this->waiting.erase(entry);
+    }
+    for (const auto id : late) {
+        this->erase(id);
     }
     return late;
 }
 
 bool run_queue::remove(std::uint64_t id)
 {
-    const auto found = this->places.find(id);
-    if (found == this->places.end()) {
+    if (!this->places.contains(id)) {
         return false;
     }
-    this->waiting.erase(found->second);
-    this->places.erase(found);
+    this->erase(id);
     return true;
 }
 
@@ -134,6 +158,7 @@
     }
     this->waiting.clear();
     this->places.clear();
+    this->by_due.clear();
     return removed;
 }
 
--- a/tests/traffic/placement.cpp
+++ b/tests/traffic/placement.cpp
@@ -81,6 +81,27 @@
     }
 }
 
+TEST_F(placing, target_that_fails_part_of_its_requests_gets_less)
+{
+    auto grey = target_of(0, false, true);
+    grey.failed = 0.4;
+    for (int turn = 0; turn < 100; ++turn) {
+        EXPECT_EQ(this->place({grey, target_of(9, false, true)}).candidate, 1U);
+    }
+}
+
+TEST_F(placing, target_never_tried_gets_first_request_once_warm)
+{
+    auto fresh = target_of(0, false, false);
+    fresh.untried = true;
+    EXPECT_EQ(this->place({target_of(0, true, true), fresh}).candidate, 1U);
+    fresh.cold_left = milliseconds{500};
+    EXPECT_EQ(this->place({target_of(0, true, true), fresh}).candidate, 0U);
+    fresh.cold_left = {};
+    fresh.load.running = 10;
+    EXPECT_EQ(this->place({target_of(0, true, true), fresh}).candidate, 0U);
+}
+
 TEST_F(placing, equal_targets_share_the_load)
 {
     std::array<int, 2> sent{};
--- a/tests/traffic/run_queue.cpp
+++ b/tests/traffic/run_queue.cpp
@@ -1,9 +1,15 @@
 #include <kumquatdrift/traffic/run_queue.hpp>
 
+#include <algorithm>
 #include <cstdint>
+#include <functional>
+#include <map>
+#include <unordered_map>
 
 #include <gtest/gtest.h>
 
+#include <kumquatdrift/core/random.hpp>
+
 namespace kumquatdrift {
 namespace {
 
@@ -130,6 +136,120 @@
     EXPECT_FALSE(this->queue.start_next(start));
 }
 
+/*! @brief Plays a load against a target of ten slots that takes 20 ms for each request. */
+class queue_under_load : public testing::Test {
+protected:
+    struct outcome {
+        std::uint64_t served{};
+        std::uint64_t refused{};
+    };
+
+    queue_under_load()
+    {
+        this->queue.set_slots(10);
+    }
+
+    void offer(const run_request& request)
+    {
+        const auto decision = this->queue.offer(request, this->now);
+        if (decision == run_decision::run) {
+            this->running.emplace(this->now + this->run_time, request.id);
+        }
+        else if (decision == run_decision::refuse) {
+            this->on_refused(request.id);
+        }
+    }
+
+    void step(microseconds time)
+    {
+        this->now += time;
+        while (!this->running.empty() && this->running.begin()->first <= this->now) {
+            const auto id = this->running.begin()->second;
+            this->running.erase(this->running.begin());
+            this->queue.finish(id, true, this->now);
+            this->on_served(id);
+        }
+        for (const auto id : this->queue.expire(this->now)) {
+            this->on_refused(id);
+        }
+        while (const auto id = this->queue.start_next(this->now)) {
+            this->running.emplace(this->now + this->run_time, *id);
+        }
+    }
+
+    std::function<void(std::uint64_t)> on_served{[](std::uint64_t) {}};
+    std::function<void(std::uint64_t)> on_refused{[](std::uint64_t) {}};
+    milliseconds run_time{20};
+    timestamp now{start};
+    run_queue queue{};
+    std::multimap<timestamp, std::uint64_t> running{};
+};
+
+TEST_F(queue_under_load, calls_of_one_request_are_served_together)
+{
+    // Requests with two calls each ask for twice the capacity. Served at random, a quarter of them would get
+    // both.
+    std::map<std::uint64_t, int> served{};
+    this->on_served = [&](std::uint64_t id) { ++served[id / 2]; };
+    random_engine rng{5};
+    constexpr std::uint64_t parents = 2'000;
+    for (std::uint64_t parent = 1; parent <= parents; ++parent) {
+        const auto group = rng();
+        for (const auto id : {2 * parent, 2 * parent + 1}) {
+            this->offer({id, 0, true, this->now + milliseconds{100}, this->now + milliseconds{250}, group});
+        }
+        this->step(milliseconds{2});
+    }
+    const auto whole =
+        std::count_if(served.begin(), served.end(), [](const auto& one) { return one.second == 2; });
+    EXPECT_GE(whole, static_cast<long>(parents) * 45 / 100);
+    EXPECT_LE(static_cast<long>(served.size()) - whole, static_cast<long>(parents) / 20);
+}
+
+TEST_F(queue_under_load, flood_of_inner_calls_leaves_a_part_to_new_requests)
+{
+    // Inner calls alone ask for one and a half times the capacity of 500 a second, new requests for a fifth
+    // of it.
+    std::uint64_t outer_served{};
+    std::uint64_t all_served{};
+    this->on_served = [&](std::uint64_t id) {
+        ++all_served;
+        outer_served += id % 2;
+    };
+    random_engine rng{5};
+    constexpr std::uint64_t outer_offered = 500;
+    for (std::uint64_t turn = 0; turn < 5'000; ++turn) {
+        if (turn % 4 != 3) {
+            this->offer(
+                {2 * turn, 0, true, this->now + milliseconds{100}, this->now + milliseconds{250}, rng()});
+        }
+        if (turn % 10 == 0) {
+            this->offer(
+                {2 * turn + 1, 2, false, this->now + milliseconds{250}, this->now + milliseconds{1'500}, 0});
+        }
+        this->step(milliseconds{1});
+    }
+    EXPECT_GE(outer_served, outer_offered * 8 / 10);
+    EXPECT_GE(all_served, 2'400U);
+}
+
+TEST_F(queue_under_load, less_urgent_requests_do_not_starve)
+{
+    // Each rank alone asks for four fifths of the capacity.
+    std::map<std::uint64_t, std::uint64_t> served{};
+    this->on_served = [&](std::uint64_t id) { ++served[id % 2]; };
+    for (std::uint64_t turn = 0; turn < 2'000; ++turn) {
+        for (const std::uint32_t rank : {0U, 1U}) {
+            this->offer({2 * turn + rank, rank + 1, false, this->now + milliseconds{250},
+                         this->now + milliseconds{900}, 0});
+        }
+        this->step(microseconds{2'500});
+    }
+    EXPECT_GE(served[0], 2'000U * 7 / 10);
+    EXPECT_GE(served[1], 2'000U * 2 / 10);
+    EXPECT_GT(served[0], served[1]);
+}
+
 TEST_F(queue_of_two_slots, offer_beyond_capacity_serves_most_in_time)
 {
     // Twice the capacity for ten seconds: 40 requests a second at a target that ends 20.
