End cold time at other nodes, repeat a failure only where another target is likelier to serve, begin no cancelled request

Cause 2: a 500 was sent to another target although all of them failed alike, because the service that they call had no room: repeats that spend the budget and the other targets' slots; and the target's answer was replaced by 502 where no target had room for the repeat. A frame with a request was held up on a lossy link for 0.9 s and came in one read with its cancel; the request was begun before the cancel was seen.

--- a/include/kumquatdrift/mesh/members.hpp
+++ b/include/kumquatdrift/mesh/members.hpp
@@ -112,6 +112,8 @@
     bool reachable{};
     /*! @brief Arrival of the latest load. */
     timestamp load_at{};
+    /*! @brief End of the time in which its target is slow after its start. */
+    timestamp cold_until{};
     /*! @brief Requests sent to it since the latest load arrived. */
     std::uint32_t sent_since_load{};
     /*! @brief Requests sent to it that have no answer. */
--- a/include/kumquatdrift/traffic/placement.hpp
+++ b/include/kumquatdrift/traffic/placement.hpp
@@ -62,7 +62,8 @@
  *
  * @param candidates Targets of the service that take requests and were not tried before.
  * @param objective_left Time within which an answer is in time; sets the scale of the price of distance.
- * @param useful_left Time after which an answer is useless.
+ * @param useful_left Time after which an answer is useless. A target in another data centre has to answer
+ * within the objective, if that has not passed: what is refused there has crossed for nothing.
  * @param settings Prices of distance.
  * @param rng Random engine, so that nodes with the same reports do not choose alike.
  * @return The choice.
@@ -71,6 +72,15 @@
                                       microseconds objective_left, microseconds useful_left,
                                       const placement_settings& settings, random_engine& rng);
 
+/**
+ * @brief Tells whether a target fails more of its requests than the others, so that its failure may be its
+ * own.
+ * @param failed Share of the latest requests that it failed.
+ * @param others The targets to which a request could be sent instead.
+ * @return True if another target is likelier to serve the request.
+ */
+[[nodiscard]] bool is_worse_than_usual(double failed, std::span<const placement_candidate> others);
+
 /**
  * @brief Draws the time after which a refused caller may come back.
  *
--- a/src/gateway/entry.cpp
+++ b/src/gateway/entry.cpp
@@ -151,8 +151,7 @@
             !record.leaving && !one.tried.contains(node)) {
             found.push_back({node, record.load, known.sent_since_load, false,
                              record.data_centre == this->shared.settings.data_centre,
-                             known.ejected_until > now,
-                             now - known.load_at < record.cold_left ? record.cold_left : microseconds{0},
+                             known.ejected_until > now, std::max(known.cold_until - now, microseconds{0}),
                              known.failed.at(now), may_try && !known.used});
         }
     }
@@ -221,7 +220,8 @@
     if (!failed) {
         known->failures = 0;
     }
-    else if (++known->failures >= failures_to_eject) {
+    else if (result.end != run_end::answered && result.end != run_end::shed &&
+             ++known->failures >= failures_to_eject) {
         known->failures = 0;
         known->ejected_until = boot_now() + ejection_time;
         this->shared.log.write(log_level::warn, event_class::state, "entry", "target_ejected",
@@ -230,6 +230,15 @@
     }
 }
 
+double entry::failed_share(const request& one, timestamp now)
+{
+    if (one.node.empty()) {
+        return this->own_failed.at(now);
+    }
+    const auto* known = this->shared.others.members().find(one.node);
+    return known != nullptr ? known->failed.at(now) : 0.0;
+}
+
 bool entry::may_repeat(const request& one, const run_result& result)
 {
     const auto now = boot_now();
@@ -239,6 +248,10 @@
     if (result.end == run_end::refused || result.end == run_end::unreachable) {
         return !result.cause.starts_with("quarantine") && one.full_targets < max_full_targets;
     }
+    if (result.end == run_end::answered &&
+        !is_worse_than_usual(this->failed_share(one, now), this->candidates(one, now))) {
+        return false;
+    }
     const auto safe = verdict_of(result.end) == verdict::not_run || one.order->repeatable;
     return safe && one.sent_to_targets < one.route->max_attempts &&
            this->retries.try_take(one.order->service, this->nodes(), now);
@@ -272,6 +285,9 @@
                                "id={} node={} end={} status={} cause={} hops={} targets={}",
                                log_value(one->order->attempt), log_value(one->node), to_name(result.end),
                                result.status, log_value(result.cause), one->hops, one->sent_to_targets);
+        if (result.end == run_end::answered) {
+            one->target_failure = std::move(result);
+        }
         this->place(one);
         return;
     }
@@ -295,6 +311,10 @@
 
 void entry::refuse(const request_ptr& one, const std::string& cause)
 {
+    if (one->target_failure) {
+        this->answer(one, *one->target_failure);
+        return;
+    }
     if (one->may_have_run) {
         // An earlier attempt may have run, so that the promise of a refusal would be false.
         this->fail(one, 502, cause);
--- a/src/gateway/entry.hpp
+++ b/src/gateway/entry.hpp
@@ -101,6 +101,7 @@
         bool may_have_run{};
         microseconds time_to_room{};
         std::string last_cause{};
+        std::optional<run_result> target_failure{};
     };
     using request_ptr = std::shared_ptr<request>;
 
@@ -112,6 +113,7 @@
     void on_result(const request_ptr& one, run_result result);
     void observe(const request& one, const run_result& result);
     [[nodiscard]] bool may_repeat(const request& one, const run_result& result);
+    [[nodiscard]] double failed_share(const request& one, timestamp now);
     void answer(const request_ptr& one, run_result& result);
     void refuse(const request_ptr& one, const std::string& cause);
     void fail(const request_ptr& one, unsigned status, const std::string& cause);
--- a/src/gateway/hop_codec.hpp
+++ b/src/gateway/hop_codec.hpp
@@ -74,7 +74,7 @@
 /**
  * @brief Decodes an order.
  * @param from Message; its texts are moved out.
- * @param now Current time.
+ * @param now Time at which it was sent, by the clock of this node.
  * @return The order.
  */
 [[nodiscard]] run_order_ptr decode(hop::Run& from, timestamp now);
--- a/src/gateway/loop.hpp
+++ b/src/gateway/loop.hpp
@@ -18,8 +18,8 @@
 /*! @brief Event loop of one thread, with timers on the clock that counts suspensions. */
 class event_loop {
 public:
-    /*! @brief Resolution of timers: well below the shortest time-out, and 50 wake-ups a second at rest. */
-    static constexpr milliseconds tick_interval{20};
+    /*! @brief Resolution of timers: well below the shortest time-out, and 33 wake-ups a second at rest. */
+    static constexpr milliseconds tick_interval{30};
 
     /*! @brief Gap between two ticks above which the process must have been suspended or starved. */
     static constexpr milliseconds suspension_gap{1'000};
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -1,6 +1,9 @@
 #include "peer_link.hpp"
 
+#include <algorithm>
+#include <unordered_set>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/post.hpp>
 
@@ -49,20 +52,37 @@
     this->connection->close();
 }
 
+microseconds peer_link::held_up(std::uint64_t sent_us, timestamp now) noexcept
+{
+    const auto delay = now.time_since_epoch() - microseconds{static_cast<microseconds::rep>(sent_us)};
+    this->least_delay = std::min(this->least_delay.value_or(delay), delay);
+    return delay - *this->least_delay;
+}
+
 void peer_link::on_data(std::string& buffer)
 {
     const auto self = shared_from_this();
     this->heard_at = boot_now();
     std::size_t offset{};
-    hop::Frame frame{};
-    auto status = frame_status::complete;
-    while (this->is_open() && (status = read_frame(buffer, offset, frame)) == frame_status::complete) {
+    std::vector<hop::Frame> frames(1);
+    std::unordered_set<std::uint64_t> cancelled{};
+    auto status = frame_status::need_more;
+    while ((status = read_frame(buffer, offset, frames.back())) == frame_status::complete) {
+        if (frames.back().has_cancel()) {
+            cancelled.insert(frames.back().cancel().id());
+        }
+        frames.emplace_back();
+    }
+    frames.pop_back();
+    buffer.erase(0, offset);
+    for (auto& frame : frames) {
         const auto callback = this->on_frame;
-        if (callback) {
+        // A request that was held up on the way until its caller had left is not begun.
+        const auto is_over = frame.has_run() && cancelled.contains(frame.run().id());
+        if (callback && this->is_open() && !is_over) {
             callback(self, frame);
         }
     }
-    buffer.erase(0, offset);
     if (status == frame_status::invalid && this->is_open()) {
         this->connection->close();
         if (const auto callback = std::exchange(this->on_lost, nullptr)) {
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -74,6 +75,14 @@
     timestamp heard_at{};
     /*! @brief Time at which the oldest unanswered ping was sent; zero if none waits. */
     timestamp pinged_at{};
+    /**
+     * @brief Tells for how long a frame was held up on the way, beyond the fastest one of this link.
+     * @param sent_us Clock of the sender.
+     * @param now Current time.
+     * @return The delay, zero for the fastest frame.
+     */
+    [[nodiscard]] microseconds held_up(std::uint64_t sent_us, timestamp now) noexcept;
+
     /*! @brief Results that the other node waits for: its id of a request, and the id here. */
     std::unordered_map<std::uint64_t, std::uint64_t> served{};
     /*! @brief Results that this node waits for, by its own id. */
@@ -87,6 +96,7 @@
     stream::pointer connection;
     std::string output{};
     bool flush_posted{};
+    std::optional<microseconds> least_delay{};
     frame_callback on_frame{};
     lost_callback on_lost{};
 };
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -20,8 +20,10 @@
 constexpr microseconds dial_interval{300'000};
 /*! @brief Longest time between attempts, for a node that has been away for long. */
 constexpr microseconds longest_dial_interval{2'000'000};
-/*! @brief Time between pings on a link. */
+/*! @brief Time between pings on a link on which requests wait. */
 constexpr microseconds ping_interval{300'000};
+/*! @brief Time between pings on an idle link; loads of the targets there are as old as this. */
+constexpr microseconds idle_ping_interval{900'000};
 /*! @brief Unanswered time after which no new request is sent; above the delay of a node that is busy. */
 constexpr microseconds suspect_after{700'000};
 /*! @brief Unanswered time after which a link is closed. */
@@ -230,7 +232,10 @@
         answer(std::move(result));
         return;
     }
-    link->served.emplace(id, this->shared.host.run(decode(message, boot_now()), answer));
+    // The times left in the frame were right when it was sent.
+    const auto now = boot_now();
+    const auto sent_at = now - link->held_up(message.sent_us(), now);
+    link->served.emplace(id, this->shared.host.run(decode(message, sent_at), answer));
 }
 
 void peers::on_answer(const peer_link::pointer& link, hop::Answer& message)
@@ -375,8 +380,9 @@
     else {
         this->set_reachable(node, true, "answers");
     }
-    if (to.next_ping <= now && link->pinged_at == timestamp{}) {
-        to.next_ping = now + ping_interval;
+    const auto interval = link->awaited.empty() ? idle_ping_interval : ping_interval;
+    if (now - to.last_ping >= interval && link->pinged_at == timestamp{}) {
+        to.last_ping = now;
         link->pinged_at = now;
         hop::Frame frame{};
         frame.mutable_ping()->set_number(static_cast<std::uint64_t>(now.time_since_epoch().count()));
--- a/src/gateway/peers.hpp
+++ b/src/gateway/peers.hpp
@@ -111,7 +111,7 @@
         peer_link::pointer link{};
         stream::pointer connecting{};
         timestamp next_try{};
-        timestamp next_ping{};
+        timestamp last_ping{};
         std::uint32_t pushed_version{};
         timestamp lags_since{};
         std::uint32_t failures{};
--- a/src/mesh/members.cpp
+++ b/src/mesh/members.cpp
@@ -25,6 +25,7 @@
     const auto other_target =
         known.record.instance != record.instance || known.record.started_ms != record.started_ms;
     known.record = record;
+    known.cold_until = now + record.cold_left;
     if (other_target) {
         known.failures = 0;
         known.ejected_until = {};
--- a/src/traffic/placement.cpp
+++ b/src/traffic/placement.cpp
@@ -21,6 +21,13 @@
 /*! @brief Cost of a failure in objectives: what it costs to ask again, and more where it cannot be. */
 constexpr double failure_weight = 2.0;
 
+/*! @brief Times the mean of all targets that one may fail before it counts as worse than the others. */
+constexpr double usual_failures_factor = 1.5;
+
+/*! @brief Difference of shares below which targets count as alike: the noise of a share over some ten
+ * requests. */
+constexpr double least_difference = 0.05;
+
 /*! @brief Shortest time after which a refused caller may return: less than one service time. */
 constexpr milliseconds shortest_return{50};
 
@@ -48,8 +55,24 @@
     return {service * backlog / slots, service};
 }
 
+/*! @brief What all targets fail alike is no reason to prefer one: their calls fail, or the requests are at
+ * fault. */
+double usual_share(std::span<const placement_candidate> candidates) noexcept
+{
+    double sum{};
+    for (const auto& candidate : candidates) {
+        sum += candidate.failed;
+    }
+    return candidates.empty() ? 0.0 : usual_failures_factor * sum / static_cast<double>(candidates.size());
+}
+
 } // namespace
 
+bool is_worse_than_usual(double failed, std::span<const placement_candidate> others)
+{
+    return failed > usual_share(others) + least_difference;
+}
+
 placement place_request(std::span<const placement_candidate> candidates, microseconds objective_left,
                         microseconds useful_left, const placement_settings& settings, random_engine& rng)
 {
@@ -59,6 +82,7 @@
     const auto scale = seconds(std::max(objective_left, microseconds{0}));
     const auto useful = seconds(useful_left);
     std::uniform_real_distribution<double> noise{1.0, 1.0 + spread};
+    const auto usual_failures = usual_share(candidates);
     const auto any_sound = std::any_of(candidates.begin(), candidates.end(),
                                        [](const placement_candidate& one) { return !one.ejected; });
     for (std::size_t index = 0; index < candidates.size(); ++index) {
@@ -68,7 +92,8 @@
         }
         const auto expected = expect(candidate);
         shortest_wait = std::min(shortest_wait, expected.wait);
-        if (expected.wait > 0.0 && expected.wait + expected.service / 2 > useful) {
+        const auto limit = candidate.local || scale <= 0.0 ? useful : std::min(useful, scale);
+        if (expected.wait > 0.0 && expected.wait + expected.service / 2 > limit) {
             continue;
         }
         const auto first = candidate.untried && expected.wait == 0.0 && candidate.cold_left.count() <= 0;
@@ -82,7 +107,8 @@
         const auto fill = static_cast<double>(candidate.load.running + candidate.sent_since_load) /
                           std::max(1U, candidate.load.slots);
         const auto cost = (expected.wait + expected.service * (1.0 + fill_weight * fill)) * noise(rng) +
-                          distance + scale * failure_weight * candidate.failed;
+                          distance +
+                          scale * failure_weight * std::max(0.0, candidate.failed - usual_failures);
         if (cost < best_cost) {
             best_cost = cost;
             best.candidate = index;
--- a/tests/mesh/members.cpp
+++ b/tests/mesh/members.cpp
@@ -62,6 +62,15 @@
     EXPECT_EQ(this->table.find("belem-1")->record.port, 7'001);
 }
 
+TEST_F(members, cold_time_ends_although_loads_keep_arriving)
+{
+    auto record = record_of(1'000, 1);
+    record.cold_left = milliseconds{800};
+    (void)this->table.learn(record, member_table::origin::link, now);
+    this->table.on_load("belem-1", {}, now + milliseconds{700});
+    EXPECT_EQ(this->table.find("belem-1")->cold_until, now + milliseconds{800});
+}
+
 TEST_F(members, load_ends_count_of_requests_since_then)
 {
     (void)this->table.learn(record_of(1'000, 1), member_table::origin::link, now);
--- a/tests/traffic/placement.cpp
+++ b/tests/traffic/placement.cpp
@@ -90,6 +90,28 @@
     }
 }
 
+TEST_F(placing, failures_that_all_targets_share_do_not_move_requests)
+{
+    auto near = target_of(0, true, true);
+    auto far = target_of(0, false, false);
+    near.failed = 0.5;
+    far.failed = 0.4;
+    EXPECT_EQ(this->place({near, far}).candidate, 0U);
+    EXPECT_FALSE(is_worse_than_usual(0.5, std::vector{far, far}));
+    far.failed = 0.05;
+    EXPECT_TRUE(is_worse_than_usual(0.5, std::vector{far, far}));
+}
+
+TEST_F(placing, far_target_that_would_be_late_is_no_choice)
+{
+    auto far = target_of(10, false, false);
+    far.load.waiting = 40;
+    EXPECT_FALSE(this->place({far}, milliseconds{2'000}).candidate);
+    auto near = far;
+    near.local = true;
+    EXPECT_EQ(this->place({far, near}, milliseconds{2'000}).candidate, 1U);
+}
+
 TEST_F(placing, target_never_tried_gets_first_request_once_warm)
 {
     auto fresh = target_of(0, false, false);
