--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -32,6 +32,9 @@
 constexpr microseconds serving_after_stop{500'000};
 /*! @brief Time before the kill at which all open requests are answered. */
 constexpr microseconds margin_before_kill{400'000};
+/*! @brief Time between the end of listening and the end of the process, in which requests that had arrived on
+ * open connections are read and refused. */
+constexpr microseconds last_answers{100'000};
 /*! @brief Time between two looks at the settings file. */
 constexpr microseconds settings_interval{1'000'000};
 /*! @brief Time after which a target that has not reported is asked. */
@@ -326,7 +329,14 @@
         }
         else if (since >= taking_after_stop) {
             this->callers.stop_taking();
-            if (idle) {
+            if (!idle) {
+                return;
+            }
+            if (!this->closing_since) {
+                this->closing_since = now;
+                this->caller_server.stop_listening();
+            }
+            if (now - *this->closing_since >= last_answers) {
                 this->loop.stop();
             }
         }
@@ -352,6 +362,7 @@
     std::uint64_t started_ms{unix_ms()};
     std::uint64_t revision{};
     std::optional<timestamp> stopping_since{};
+    std::optional<timestamp> closing_since{};
     std::optional<std::filesystem::file_time_type> settings_written{};
     timestamp next_settings_check{};
     bool asked_target{};
--- a/src/gateway/http_server.cpp
+++ b/src/gateway/http_server.cpp
@@ -207,10 +207,15 @@
     });
 }
 
-void http_server::close()
+void http_server::stop_listening()
 {
     error_code ignored{};
     this->acceptor.close(ignored);
+}
+
+void http_server::close()
+{
+    this->stop_listening();
     for (const auto& session : this->sessions) {
         session->close();
     }
--- a/src/gateway/http_server.hpp
+++ b/src/gateway/http_server.hpp
@@ -85,6 +85,9 @@
         this->draining = true;
     }
 
+    /*! @brief Stops to listen; open connections go on. */
+    void stop_listening();
+
     /*! @brief Closes all connections and stops to listen. */
     void close();
 
