--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -39,6 +39,10 @@
 constexpr microseconds settings_interval{1'000'000};
 /*! @brief Time after which a target that has not reported is asked. */
 constexpr microseconds first_report_wait{150'000};
+constexpr std::size_t bytes_per_mb = 1'048'576;
+/*! @brief One part in so many of the memory may hold bodies of requests: they are held twice while they are
+ * sent on, and answers and the process need the rest. */
+constexpr std::size_t body_part = 4;
 /*! @brief Descriptors left for files, the store, other nodes and the target. */
 constexpr std::size_t reserved_descriptors = 600;
 /*! @brief Connections on the addresses for reports, readiness and metrics. */
@@ -72,7 +76,8 @@
           caller_server{this->loop, [this] { return this->limits(); },
                         this->settings.max_descriptors -
                             std::min(this->settings.max_descriptors / 2, reserved_descriptors),
-                        [this](const http_exchange_ptr& exchange) { this->callers.on_request(exchange); }},
+                        [this](const http_exchange_ptr& exchange) { this->callers.on_request(exchange); },
+                        this->settings.memory_mb * bytes_per_mb / body_part},
           control_server{this->loop, [] { return caller_limits{}; }, control_connections,
                          [this](const http_exchange_ptr& exchange) { this->on_control(exchange); }},
           ready_server{this->loop, [] { return caller_limits{}; }, control_connections,
--- a/src/gateway/http_server.cpp
+++ b/src/gateway/http_server.cpp
@@ -38,6 +38,7 @@
     void respond(const http_answer& answer, bool close)
     {
         const auto self = shared_from_this();
+        this->hold(0);
         const auto last = close || this->server.draining || !this->exchange->request.keep_alive;
         this->connection->send(write_answer(answer, last, this->exchange->request.method == "HEAD"));
         this->exchange->session.reset();
@@ -68,6 +69,11 @@
             this->expect_within(this->limits.header_timeout);
         }
         const auto progress = this->reader.feed(buffer);
+        this->hold(this->reader.partial().body.size());
+        if (this->server.held_bytes > this->server.max_body_bytes) {
+            this->refuse(503);
+            return;
+        }
         if (progress == read_progress::failed) {
             this->refuse(this->reader.failure_status());
             return;
@@ -102,9 +108,17 @@
         }
     }
 
+    /*! @brief Counts the bytes of the present request, which stay until its answer. */
+    void hold(std::size_t bytes) noexcept
+    {
+        this->server.held_bytes += bytes - this->held;
+        this->held = bytes;
+    }
+
     void refuse(unsigned status)
     {
-        this->connection->send(write_answer({status, "", "", ""}, true, false));
+        const auto* lines = status == 503 ? "Retry-After: 0.500\r\n" : "";
+        this->connection->send(write_answer({status, "", lines, ""}, true, false));
         this->connection->close_when_sent();
         this->leave();
     }
@@ -139,6 +153,7 @@
 
     void leave()
     {
+        this->hold(0);
         this->server.loop.cancel(std::exchange(this->timer, 0));
         this->server.sessions.erase(shared_from_this());
     }
@@ -150,6 +165,7 @@
     http_exchange_ptr exchange{};
     timestamp arrived{};
     event_loop::timer_id timer{};
+    std::size_t held{};
     bool receiving{};
     bool continued{};
 };
@@ -163,9 +179,9 @@
 }
 
 http_server::http_server(event_loop& owner, std::function<caller_limits()> bounds,
-                         std::size_t connection_limit, handler function)
-    : loop{owner}, limits{std::move(bounds)},
-      max_connections{connection_limit}, handle{std::move(function)}, acceptor{owner.context()}
+                         std::size_t connection_limit, handler function, std::size_t body_limit)
+    : loop{owner}, limits{std::move(bounds)}, max_connections{connection_limit}, handle{std::move(function)},
+      max_body_bytes{body_limit}, acceptor{owner.context()}
 {
 }
 
--- a/src/gateway/http_server.hpp
+++ b/src/gateway/http_server.hpp
@@ -59,15 +59,19 @@
     /*! @brief Receives each whole request. */
     using handler = std::function<void(const http_exchange_ptr&)>;
 
+    /*! @brief Bytes of all request bodies together, for servers whose callers send little. */
+    static constexpr std::size_t default_max_body_bytes = 4'194'304;
+
     /**
      * @brief Constructs a server that does not listen.
      * @param loop Event loop.
      * @param limits Returns the bounds on callers in force.
      * @param max_connections Connections above which new ones are closed.
      * @param handle Receives requests.
+     * @param max_body_bytes Bytes of all request bodies together, above which requests are refused with 503.
      */
     http_server(event_loop& loop, std::function<caller_limits()> limits, std::size_t max_connections,
-                handler handle);
+                handler handle, std::size_t max_body_bytes = default_max_body_bytes);
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
@@ -91,6 +95,12 @@
     /*! @brief Closes all connections and stops to listen. */
     void close();
 
+    /*! @brief Returns the bytes of request bodies that are held. */
+    [[nodiscard]] std::size_t body_bytes() const noexcept
+    {
+        return this->held_bytes;
+    }
+
     /*! @brief Returns the number of connections. */
     [[nodiscard]] std::size_t connections() const noexcept
     {
@@ -105,6 +115,8 @@
     std::function<caller_limits()> limits;
     std::size_t max_connections;
     handler handle;
+    std::size_t max_body_bytes;
+    std::size_t held_bytes{};
     boost::asio::ip::tcp::acceptor acceptor;
     std::unordered_set<std::shared_ptr<http_session>> sessions{};
     bool draining{};
