Count objectives from the first attempt of a caller, and let requests that are late come last

Cause: a caller that comes back after a refusal was treated as new, with its whole objective ahead. The time that a caller still waits tells its age: most first attempts of a route state the same.

--- a/include/kumquatdrift/traffic/fwd.hpp
+++ b/include/kumquatdrift/traffic/fwd.hpp
@@ -34,11 +34,13 @@
 
 struct placement_candidate;
 struct placement_settings;
+struct placement_times;
 struct placement;
 
 struct retry_bound;
 class retry_share;
 class failure_share;
+class caller_age;
 
 } // namespace kumquatdrift
 
--- a/include/kumquatdrift/traffic/placement.hpp
+++ b/include/kumquatdrift/traffic/placement.hpp
@@ -44,6 +44,17 @@
     double other_data_centre{0.6};
 };
 
+/*! @brief Times of a request. */
+struct placement_times {
+    /*! @brief Time in which a request of its route is to be answered; the scale of the price of distance. */
+    microseconds objective{};
+    /*! @brief What is left of it. A target in another data centre has to answer within it, or at once: what
+     * is refused there has crossed for nothing. */
+    microseconds objective_left{};
+    /*! @brief Time after which an answer is useless. */
+    microseconds useful_left{};
+};
+
 /*! @brief Where to send a request. */
 struct placement {
     /*! @brief Index of the candidate; nothing if none can answer in time. */
@@ -61,16 +72,14 @@
  * Answers the load of one entry node, from what the targets' nodes reported with their latest answers.
  *
  * @param candidates Targets of the service that take requests and were not tried before.
- * @param objective_left Time within which an answer is in time; sets the scale of the price of distance.
- * @param useful_left Time after which an answer is useless. A target in another data centre has to answer
- * within the objective, if that has not passed: what is refused there has crossed for nothing.
+ * @param times Times of the request.
  * @param settings Prices of distance.
  * @param rng Random engine, so that nodes with the same reports do not choose alike.
  * @return The choice.
  */
 [[nodiscard]] placement place_request(std::span<const placement_candidate> candidates,
-                                      microseconds objective_left, microseconds useful_left,
-                                      const placement_settings& settings, random_engine& rng);
+                                      const placement_times& times, const placement_settings& settings,
+                                      random_engine& rng);
 
 /**
  * @brief Tells whether a target fails more of its requests than the others, so that its failure may be its
--- a/include/kumquatdrift/traffic/run_queue.hpp
+++ b/include/kumquatdrift/traffic/run_queue.hpp
@@ -31,6 +31,8 @@
     timestamp deadline{};
     /*! @brief For an inner call, a hash of the request on whose behalf it is made; 0 for others. */
     std::uint64_t group{};
+    /*! @brief Set by the queue: the objective had passed when it was offered. */
+    bool late{};
 };
 
 /*! @brief Whether an offered request runs, waits, or is refused. */
@@ -53,7 +55,8 @@
  * Inner calls start first. Among them the hash of their request decides, so that under overload all calls of
  * one request are served, at whatever targets, or none: a request fails with its first refused call, and the
  * others were run for nothing. Then requests start by priority; but one start in `share_interval` goes to the
- * request that is due first, whatever its rank, so that no kind of request starves.
+ * request that is due first, whatever its rank, so that no kind of request starves. Requests that are late
+ * already come last.
  */
 class run_queue {
 public:
@@ -75,7 +78,7 @@
      * @param now Current time.
      * @return The decision.
      */
-    [[nodiscard]] run_decision offer(const run_request& request, timestamp now);
+    [[nodiscard]] run_decision offer(run_request request, timestamp now);
 
     /**
      * @brief Frees the slot of a request.
--- a/src/gateway/entry.cpp
+++ b/src/gateway/entry.cpp
@@ -110,15 +110,19 @@
     order->service = this->chooser.choose(route);
     order->attempt = *find_field(message.fields, headers.attempt_id);
     auto wait = route.timeout;
+    microseconds age{0};
     if (const auto* text = find_field(message.fields, headers.time_left_ms)) {
         double given{};
         const auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), given);
         if (error == std::errc{} && given >= 0 && given < 1e9) {
-            wait = std::min(wait, microseconds{static_cast<microseconds::rep>(given * 1'000)});
+            const microseconds left{static_cast<microseconds::rep>(given * 1'000)};
+            wait = std::min(wait, left);
+            age = this->ages.observe(route.prefix, left);
         }
     }
     order->deadline = exchange.arrived + wait;
-    order->objective = exchange.arrived + route.objective;
+    // The objective counts from the first attempt of the caller.
+    order->objective = exchange.arrived + route.objective - age;
     order->priority = route.priority;
     order->repeatable = route.kind == request_kind::repeatable;
     const auto parent = this->shared.platform.parent_of(order->attempt);
@@ -170,8 +174,9 @@
     }
     // Whether there is time to wait is decided at the target's node, which knows who else waits; only a
     // request that would wait beyond its end is refused here.
-    const auto chosen = place_request(choices, order.objective - now, order.deadline - now,
-                                      this->shared.settings.placement, this->shared.rng);
+    const auto chosen =
+        place_request(choices, {one->route->objective, order.objective - now, order.deadline - now},
+                      this->shared.settings.placement, this->shared.rng);
     if (!chosen.candidate) {
         one->time_to_room = chosen.time_to_room;
         this->refuse(one, "no_room");
--- a/src/gateway/entry.hpp
+++ b/src/gateway/entry.hpp
@@ -15,6 +15,7 @@
 #include <kumquatdrift/mesh/route_index.hpp>
 #include <kumquatdrift/telemetry/event_log.hpp>
 #include <kumquatdrift/telemetry/metrics.hpp>
+#include <kumquatdrift/traffic/caller_age.hpp>
 #include <kumquatdrift/traffic/placement.hpp>
 #include <kumquatdrift/traffic/retry_share.hpp>
 
@@ -130,6 +131,7 @@
     parts shared;
     std::shared_ptr<const route_index> routes{};
     part_chooser chooser{};
+    caller_age ages{};
     retry_share retries;
     std::unordered_set<request_ptr> requests{};
     failure_share own_failed{};
--- a/src/traffic/placement.cpp
+++ b/src/traffic/placement.cpp
@@ -73,14 +73,14 @@
     return failed > usual_share(others) + least_difference;
 }
 
-placement place_request(std::span<const placement_candidate> candidates, microseconds objective_left,
-                        microseconds useful_left, const placement_settings& settings, random_engine& rng)
+placement place_request(std::span<const placement_candidate> candidates, const placement_times& times,
+                        const placement_settings& settings, random_engine& rng)
 {
     placement best{};
     auto best_cost = std::numeric_limits<double>::infinity();
     auto shortest_wait = std::numeric_limits<double>::infinity();
-    const auto scale = seconds(std::max(objective_left, microseconds{0}));
-    const auto useful = seconds(useful_left);
+    const auto scale = seconds(times.objective);
+    const auto useful = seconds(times.useful_left);
     std::uniform_real_distribution<double> noise{1.0, 1.0 + spread};
     const auto usual_failures = usual_share(candidates);
     const auto any_sound = std::any_of(candidates.begin(), candidates.end(),
@@ -92,7 +92,7 @@
         }
         const auto expected = expect(candidate);
         shortest_wait = std::min(shortest_wait, expected.wait);
-        const auto limit = candidate.local || scale <= 0.0 ? useful : std::min(useful, scale);
+        const auto limit = candidate.local ? useful : std::min(useful, seconds(times.objective_left));
         if (expected.wait > 0.0 && expected.wait + expected.service / 2 > limit) {
             continue;
         }
--- a/src/traffic/run_queue.cpp
+++ b/src/traffic/run_queue.cpp
@@ -16,6 +16,10 @@
 /*! @brief Rank of inner calls, before all others. */
 constexpr std::uint32_t inner_rank = 0;
 
+/*! @brief Rank of requests that are late already, after all others: they only take room that nobody else
+ * needs. */
+constexpr std::uint32_t late_rank = 1'000'000;
+
 } // namespace
 
 timestamp useful_until(const run_request& request, timestamp now) noexcept
@@ -28,8 +32,8 @@
 
 run_queue::place run_queue::place_of(const run_request& request) noexcept
 {
-    return {request.inner ? inner_rank : request.priority + 1, request.inner ? request.group : 0,
-            request.deadline, request.id};
+    const auto rank = request.inner ? inner_rank : request.late ? late_rank : request.priority + 1;
+    return {rank, request.inner ? request.group : 0, request.deadline, request.id};
 }
 
 run_queue::due run_queue::due_of(const run_request& request) noexcept
@@ -58,7 +62,7 @@
 {
     const auto by_rank = static_cast<std::size_t>(
         std::distance(this->waiting.begin(), this->waiting.lower_bound(place_of(request))));
-    if (request.inner) {
+    if (request.inner || request.late) {
         return by_rank;
     }
     const auto by_due_time = static_cast<std::size_t>(
@@ -66,8 +70,9 @@
     return std::min(by_rank, (by_due_time + 1) * share_interval);
 }
 
-run_decision run_queue::offer(const run_request& request, timestamp now)
+run_decision run_queue::offer(run_request request, timestamp now)
 {
+    request.late = request.objective <= now;
     if (this->slots == 0 || request.deadline <= now || this->running.contains(request.id) ||
         this->places.contains(request.id)) {
         return run_decision::refuse;
@@ -82,7 +87,7 @@
     const auto position = place_of(request);
     this->waiting.emplace(position, request);
     this->places.emplace(request.id, position);
-    if (!request.inner) {
+    if (!request.inner && !request.late) {
         this->by_due.insert(due_of(request));
     }
     return run_decision::wait;
--- /dev/null
+++ b/tests/traffic/caller_age.cpp
@@ -0,0 +1,57 @@
+#include <kumquatdrift/traffic/caller_age.hpp>
+
+#include <gtest/gtest.h>
+
+namespace kumquatdrift {
+namespace {
+
+class age_of_callers : public testing::Test {
+protected:
+    age_of_callers()
+    {
+        for (int turn = 0; turn < 100; ++turn) {
+            EXPECT_EQ(this->ages.observe("read", milliseconds{1'999 - turn % 3}), microseconds{0});
+        }
+    }
+
+    caller_age ages{};
+};
+
+TEST_F(age_of_callers, returning_caller_is_as_old_as_what_it_lacks)
+{
+    const auto age = this->ages.observe("read", milliseconds{1'400});
+    EXPECT_GE(age, milliseconds{550});
+    EXPECT_LE(age, milliseconds{650});
+}
+
+TEST_F(age_of_callers, few_patient_callers_do_not_age_the_others)
+{
+    for (int turn = 0; turn < 200; ++turn) {
+        (void)this->ages.observe("read", turn % 20 == 0 ? milliseconds{9'000} : milliseconds{1'999});
+    }
+    EXPECT_EQ(this->ages.observe("read", milliseconds{1'999}), microseconds{0});
+}
+
+TEST_F(age_of_callers, unknown_route_has_no_estimate)
+{
+    EXPECT_EQ(this->ages.observe("book", milliseconds{10}), microseconds{0});
+}
+
+TEST_F(age_of_callers, many_returning_callers_do_not_become_the_usual_ones)
+{
+    for (int turn = 0; turn < 1'000; ++turn) {
+        (void)this->ages.observe("read", turn % 3 == 0 ? milliseconds{2'000} : milliseconds{1'300});
+    }
+    EXPECT_GE(this->ages.observe("read", milliseconds{1'300}), milliseconds{600});
+}
+
+TEST_F(age_of_callers, shorter_times_of_all_callers_become_usual)
+{
+    for (int turn = 0; turn < 4'000; ++turn) {
+        (void)this->ages.observe("read", milliseconds{800});
+    }
+    EXPECT_EQ(this->ages.observe("read", milliseconds{800}), microseconds{0});
+}
+
+} // namespace
+} // namespace kumquatdrift
--- a/tests/traffic/placement.cpp
+++ b/tests/traffic/placement.cpp
@@ -20,7 +20,8 @@
     [[nodiscard]] placement place(const std::vector<placement_candidate>& candidates,
                                   milliseconds useful = milliseconds{400})
     {
-        return place_request(candidates, milliseconds{400}, useful, this->settings, this->rng);
+        return place_request(candidates, {milliseconds{400}, milliseconds{400}, useful}, this->settings,
+                             this->rng);
     }
 
     placement_settings settings{};
@@ -112,6 +113,19 @@
     EXPECT_EQ(this->place({far, near}, milliseconds{2'000}).candidate, 1U);
 }
 
+TEST_F(placing, late_request_crosses_only_to_a_target_with_room)
+{
+    const placement_times late{milliseconds{400}, milliseconds{-100}, milliseconds{900}};
+    auto full = target_of(10, false, false);
+    EXPECT_FALSE(place_request(std::vector{full}, late, this->settings, this->rng).candidate);
+    EXPECT_EQ(place_request(std::vector{target_of(3, false, false), target_of(10, false, true)}, late,
+                            this->settings, this->rng)
+                  .candidate,
+              1U);
+    EXPECT_TRUE(
+        place_request(std::vector{target_of(3, false, false)}, late, this->settings, this->rng).candidate);
+}
+
 TEST_F(placing, target_never_tried_gets_first_request_once_warm)
 {
     auto fresh = target_of(0, false, false);
--- a/tests/traffic/run_queue.cpp
+++ b/tests/traffic/run_queue.cpp
@@ -111,6 +111,17 @@
     EXPECT_EQ(this->queue.expire(start + milliseconds{850}).size(), 1U);
 }
 
+TEST_F(queue_of_two_slots, request_late_for_objective_lets_others_pass)
+{
+    this->fill();
+    EXPECT_EQ(this->queue.offer({3, 0, false, start, start + milliseconds{900}, 0}, start),
+              run_decision::wait);
+    EXPECT_EQ(this->queue.offer(request_of(4, 7, milliseconds{500}, milliseconds{900}), start),
+              run_decision::wait);
+    this->queue.finish(1, true, start + milliseconds{50});
+    EXPECT_EQ(this->queue.start_next(start + milliseconds{50}), 4U);
+}
+
 TEST_F(queue_of_two_slots, no_slots_refuses)
 {
     this->queue.set_slots(0);
