--- a/include/kumquatdrift/traffic/run_queue.hpp
+++ b/include/kumquatdrift/traffic/run_queue.hpp
@@ -33,6 +33,8 @@
     std::uint64_t group{};
     /*! @brief Set by the queue: the objective had passed when it was offered. */
     bool late{};
+    /*! @brief Set by the queue: a late request that has not started by then is refused. */
+    timestamp start_until{};
 };
 
 /*! @brief Whether an offered request runs, waits, or is refused. */
--- a/src/traffic/run_queue.cpp
+++ b/src/traffic/run_queue.cpp
@@ -16,6 +16,10 @@
 /*! @brief Rank of inner calls, before all others. */
 constexpr std::uint32_t inner_rank = 0;
 
+/*! @brief One part in so many of its time may a late request wait for its start: others pass it all the
+ * while, so that the estimate of its wait is too short, and its caller had better be told soon. */
+constexpr int late_wait_part = 5;
+
 /*! @brief Rank of requests that are late already, after all others: they only take room that nobody else
  * needs. */
 constexpr std::uint32_t late_rank = 1'000'000;
@@ -55,7 +59,7 @@
 {
     const auto service = microseconds{
         static_cast<microseconds::rep>(static_cast<double>(this->mean_service.count()) * needed_service)};
-    return now + wait + service <= useful_until(request, now);
+    return now + wait + service <= useful_until(request, now) && now + wait <= request.start_until;
 }
 
 std::size_t run_queue::starts_before(const run_request& request) const
@@ -72,7 +76,8 @@
 
 run_decision run_queue::offer(run_request request, timestamp now)
 {
-    request.late = request.objective <= now;
+    request.late = request.objective <= now && !request.inner;
+    request.start_until = request.late ? now + (request.deadline - now) / late_wait_part : request.deadline;
     if (this->slots == 0 || request.deadline <= now || this->running.contains(request.id) ||
         this->places.contains(request.id)) {
         return run_decision::refuse;
