--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -164,11 +164,11 @@
                boost::beast::http::token_list{*connection}.exists(name);
     };
     std::string lines{};
-    for (const auto& [name, value] : fields) {
-        const auto is_this = [&](std::string_view other) { return same_name(other, name); };
+    for (const auto& field : fields) {
+        const auto is_this = [&](std::string_view other) { return same_name(other, field.name); };
         if (std::none_of(connection_fields.begin(), connection_fields.end(), is_this) &&
-            std::none_of(without.begin(), without.end(), is_this) && !named_by_connection(name)) {
-            lines.append(name).append(": ").append(value).append("\r\n");
+            std::none_of(without.begin(), without.end(), is_this) && !named_by_connection(field.name)) {
+            lines.append(field.name).append(": ").append(field.value).append("\r\n");
         }
     }
     return lines;
