--- a/tests/gateway/peer_link.cpp
+++ b/tests/gateway/peer_link.cpp
@@ -40,7 +40,7 @@
             [this](const peer_link::pointer&, const std::string& cause) { this->lost = cause; });
     }
 
-    ~link_to_raw_peer() override
+    void TearDown() override
     {
         this->link->close();
     }
--- a/tests/http/message.cpp
+++ b/tests/http/message.cpp
@@ -7,7 +7,7 @@
 
 class http_reader_of_requests : public testing::Test {
 protected:
-    read_progress feed(std::string bytes)
+    read_progress feed(const std::string& bytes)
     {
         this->buffer += bytes;
         return this->reader.feed(this->buffer);
--- a/tests/platform/decode.cpp
+++ b/tests/platform/decode.cpp
@@ -85,7 +85,7 @@
                 R"([{"name":"r1","path_prefix":"/a/","kind":"idempotent","timeout_s":-1,"service":"s1"}])"),
             "timeout_s"}));
 
-http_message report_request(std::string call, std::string body)
+http_message report_request(const std::string& call, std::string body)
 {
     http_message request{};
     request.method = "POST";
--- a/tests/telemetry/event_log.cpp
+++ b/tests/telemetry/event_log.cpp
@@ -17,7 +17,7 @@
         EXPECT_EQ(::pipe2(this->ends.data(), O_NONBLOCK), 0);
     }
 
-    ~event_log_on_pipe() override
+    void TearDown() override
     {
         ::close(this->ends[0]);
         ::close(this->ends[1]);
