--- a/src/gateway/target_host.cpp
+++ b/src/gateway/target_host.cpp
@@ -271,7 +271,8 @@
     if (result.end == run_end::lost) {
         this->lately_lost.push_back({order.fingerprint, now});
     }
-    if (outcome.end == call_end::not_sent) {
+    // A connection that a request had no time to wait for says nothing of the target.
+    if (outcome.end == call_end::not_sent && now < order.deadline) {
         this->on_unreachable(result.cause);
     }
     else if (outcome.answer.status == 421) {
--- a/tests/gateway/target_host.cpp
+++ b/tests/gateway/target_host.cpp
@@ -1,5 +1,6 @@
 #include <map>
 #include <optional>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -173,6 +174,26 @@
     EXPECT_EQ(this->host.report().state, report_state::ready);
 }
 
+TEST_F(target_host_with_target, request_without_time_to_connect_does_not_make_target_unknown)
+{
+    // A listener whose queue is full lets further connections wait.
+    using boost::asio::ip::tcp;
+    tcp::acceptor full{this->world.loop.context(), tcp::v4()};
+    full.bind({boost::asio::ip::make_address_v4("127.0.0.1"), 0});
+    full.listen(0);
+    std::vector<tcp::socket> waiting{};
+    for (int count = 0; count < 3; ++count) {
+        waiting.emplace_back(this->world.loop.context(), tcp::v4());
+        waiting.back().async_connect(full.local_endpoint(), [](const boost::system::error_code&) {});
+    }
+    this->host.set_address({"127.0.0.1", full.local_endpoint().port()});
+    auto order = std::make_shared<run_order>(*order_of("r1"));
+    order->deadline = boot_now() + milliseconds{100};
+    this->run(order);
+    EXPECT_EQ(this->result_of("r1").end, run_end::refused);
+    EXPECT_EQ(this->host.report().state, report_state::ready);
+}
+
 TEST_F(target_host_with_target, closed_connection_may_have_run)
 {
     this->target.on_request = [this](const http_exchange_ptr&) { this->target.server.close(); };
