Do not use a connection again that was in use when its target was replaced

Cause: a request under way while a new incarnation reported kept its connection, which went back to the idle ones; the old incarnation answered later requests there with 421, and each report made the target usable for one more such request.

--- a/src/gateway/http_client.cpp
+++ b/src/gateway/http_client.cpp
@@ -63,6 +63,7 @@
                                                  this->settings.max_body}})
             .first->second;
     call.reader.reset(call.order.no_body);
+    call.generation = this->generation;
     call.timer = this->loop.at(deadline, [this, id] {
         const auto sent = this->calls.at(id).sent;
         this->finish(id, sent ? call_end::timed_out : call_end::not_sent, {}, "no answer in time", false);
@@ -159,7 +160,7 @@
     auto& call = node.mapped();
     this->loop.cancel(call.timer);
     if (call.connection) {
-        if (keep) {
+        if (keep && call.generation == this->generation) {
             this->keep(call.connection, answer);
         }
         else {
@@ -227,6 +228,7 @@
 
 void http_client::drop_idle()
 {
+    ++this->generation;
     for (const auto& one : this->idle) {
         one.connection->close();
     }
--- a/src/gateway/http_client.hpp
+++ b/src/gateway/http_client.hpp
@@ -125,7 +125,7 @@
      */
     void cancel(std::uint64_t id);
 
-    /*! @brief Closes all idle connections. */
+    /*! @brief Closes all idle connections, and those in use once they are idle. */
     void drop_idle();
 
     /*! @brief Returns the number of connections opened so far. */
@@ -143,6 +143,7 @@
         event_loop::timer_id timer{};
         bool sent{};
         bool surplus{};
+        std::uint64_t generation{};
     };
     struct idle_connection {
         stream::pointer connection{};
@@ -166,6 +167,8 @@
     std::list<idle_connection> idle{};
     std::uint64_t last_id{};
     std::uint64_t opened_connections{};
+    /*! @brief Grows when connections opened so far become useless, those in use included. */
+    std::uint64_t generation{};
     std::shared_ptr<int> alive{std::make_shared<int>()};
 };
 
--- a/tests/gateway/target_host.cpp
+++ b/tests/gateway/target_host.cpp
@@ -82,6 +82,23 @@
     EXPECT_EQ(this->host.report().state, report_state::ready);
 }
 
+TEST_F(target_host_with_target, connection_in_use_when_target_is_replaced_is_not_used_again)
+{
+    this->run(order_of("r1"));
+    EXPECT_TRUE(this->world.run_until([this] { return this->target.seen.size() == 1; }));
+    scripted_target successor{this->world.loop};
+    successor.on_request = [](const http_exchange_ptr& exchange) { scripted_target::answer(exchange); };
+    auto report = report_of(report_state::ready, 1, 2'000, "i-2");
+    report.address = successor.address.ip + ":" + std::to_string(successor.address.port);
+    EXPECT_TRUE(this->host.on_report(report));
+    scripted_target::answer(this->target.seen.front());
+    EXPECT_EQ(this->result_of("r1").end, run_end::answered);
+    this->run(order_of("r2"));
+    EXPECT_EQ(this->result_of("r2").end, run_end::answered);
+    EXPECT_EQ(successor.seen.size(), 1U);
+    EXPECT_EQ(this->target.seen.size(), 1U);
+}
+
 TEST_F(target_host_with_target, same_id_born_again_starts_afresh)
 {
     EXPECT_TRUE(this->host.on_report(report_of(report_state::draining, 9)));
