--- a/tests/traffic/run_queue.cpp
+++ b/tests/traffic/run_queue.cpp
@@ -1,6 +1,7 @@
 #include <kumquatdrift/traffic/run_queue.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -217,6 +218,75 @@
     EXPECT_LE(static_cast<long>(served.size()) - whole, static_cast<long>(parents) / 20);
 }
 
+/*! @brief Two targets of five slots with unequal run times, each asked for twice what it can run. */
+class calls_at_two_targets : public testing::Test {
+protected:
+    struct target {
+        run_queue queue{};
+        std::multimap<timestamp, std::uint64_t> running{};
+    };
+
+    calls_at_two_targets()
+    {
+        for (auto& one : this->targets) {
+            one.queue.set_slots(5);
+        }
+    }
+
+    void start(target& at, std::uint64_t id)
+    {
+        at.running.emplace(this->now + milliseconds{std::uniform_int_distribution<int>{5, 35}(this->rng)},
+                           id);
+    }
+
+    void step(target& at)
+    {
+        while (!at.running.empty() && at.running.begin()->first <= this->now) {
+            const auto id = at.running.begin()->second;
+            at.running.erase(at.running.begin());
+            at.queue.finish(id, true, this->now);
+            ++this->served[id];
+        }
+        (void)at.queue.expire(this->now);
+        while (const auto id = at.queue.start_next(this->now)) {
+            this->start(at, *id);
+        }
+    }
+
+    std::array<target, 2> targets{};
+    timestamp now{start_time};
+    random_engine rng{5};
+    /*! @brief Calls that were served, by the request on whose behalf they were made. */
+    std::map<std::uint64_t, int> served{};
+
+private:
+    static constexpr timestamp start_time{std::chrono::seconds{100}};
+};
+
+TEST_F(calls_at_two_targets, both_calls_of_a_request_are_served_or_none)
+{
+    constexpr std::uint64_t parents = 4'000;
+    for (std::uint64_t parent = 1; parent <= parents; ++parent) {
+        const auto group = this->rng();
+        for (auto& at : this->targets) {
+            const run_request call{
+                parent, 0, true, this->now + milliseconds{100}, this->now + milliseconds{250}, group};
+            if (at.queue.offer(call, this->now) == run_decision::run) {
+                this->start(at, parent);
+            }
+        }
+        this->now += milliseconds{2};
+        for (auto& at : this->targets) {
+            this->step(at);
+        }
+    }
+    const auto whole = std::count_if(this->served.begin(), this->served.end(),
+                                     [](const auto& one) { return one.second == 2; });
+    // Half of the requests have room. Served independently, a quarter would get both calls.
+    EXPECT_GE(whole, static_cast<long>(parents) * 4 / 10);
+    EXPECT_LE(static_cast<long>(this->served.size()) - whole, static_cast<long>(parents) / 10);
+}
+
 TEST_F(queue_under_load, flood_of_inner_calls_leaves_a_part_to_new_requests)
 {
     // Inner calls alone ask for one and a half times the capacity of 500 a second, new requests for a fifth
