Compare the first request of a link with the frames before it when telling how long it was held up

The time on the way was compared only among frames with requests, so the first one counted as the fastest. Every frame now carries the time at which it was sent; hello and pings come before the first request.

--- a/src/gateway/hop_codec.cpp
+++ b/src/gateway/hop_codec.cpp
@@ -119,7 +119,6 @@
     into.set_inner(order.inner);
     into.set_repeatable(order.repeatable);
     into.set_group(order.group);
-    into.set_sent_us(static_cast<std::uint64_t>(now.time_since_epoch().count()));
     into.set_caller_service(order.caller_service);
     into.set_fingerprint(order.fingerprint);
 }
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -29,8 +29,9 @@
                             });
 }
 
-void peer_link::send(const hop::Frame& frame)
+void peer_link::send(hop::Frame& frame)
 {
+    frame.set_sent_us(static_cast<std::uint64_t>(boot_now().time_since_epoch().count()));
     append_frame(frame, this->output);
     if (!this->flush_posted) {
         this->flush_posted = true;
@@ -54,6 +55,9 @@
 
 microseconds peer_link::held_up(std::uint64_t sent_us, timestamp now) noexcept
 {
+    if (sent_us == 0) {
+        return microseconds{0};
+    }
     const auto delay = now.time_since_epoch() - microseconds{static_cast<microseconds::rep>(sent_us)};
     this->least_delay = std::min(this->least_delay.value_or(delay), delay);
     return delay - *this->least_delay;
@@ -77,10 +81,11 @@
     buffer.erase(0, offset);
     for (auto& frame : frames) {
         const auto callback = this->on_frame;
+        const auto held = this->held_up(frame.sent_us(), this->heard_at);
         // A request that was held up on the way until its caller had left is not begun.
         const auto is_over = frame.has_run() && cancelled.contains(frame.run().id());
         if (callback && this->is_open() && !is_over) {
-            callback(self, frame);
+            callback(self, frame, held);
         }
     }
     if (status == frame_status::invalid && this->is_open()) {
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -24,8 +24,12 @@
 public:
     /*! @brief Shared reference. */
     using pointer = std::shared_ptr<peer_link>;
-    /*! @brief Receives each frame. */
-    using frame_callback = std::function<void(const pointer&, hop::Frame&)>;
+    /**
+     * @brief Receives each frame, and for how long it was held up on the way beyond the fastest frame of the
+     *        link. Each node sends a frame before its first request, so that even the first request is
+     * compared with another frame.
+     */
+    using frame_callback = std::function<void(const pointer&, hop::Frame&, microseconds)>;
     /*! @brief Called once when the link is lost, with the cause. */
     using lost_callback = std::function<void(const pointer&, const std::string&)>;
 
@@ -48,9 +52,9 @@
 
     /**
      * @brief Sends a frame.
-     * @param frame Frame.
+     * @param frame Frame; the time at which it is sent is set in it.
      */
-    void send(const hop::Frame& frame);
+    void send(hop::Frame& frame);
 
     /*! @brief Closes; no callback follows. */
     void close();
@@ -75,14 +79,6 @@
     timestamp heard_at{};
     /*! @brief Time at which the oldest unanswered ping was sent; zero if none waits. */
     timestamp pinged_at{};
-    /**
-     * @brief Tells for how long a frame was held up on the way, beyond the fastest one of this link.
-     * @param sent_us Clock of the sender.
-     * @param now Current time.
-     * @return The delay, zero for the fastest frame.
-     */
-    [[nodiscard]] microseconds held_up(std::uint64_t sent_us, timestamp now) noexcept;
-
     /*! @brief Results that the other node waits for: its id of a request, and the id here. */
     std::unordered_map<std::uint64_t, std::uint64_t> served{};
     /*! @brief Results that this node waits for, by its own id. */
@@ -91,6 +87,7 @@
 private:
     void on_data(std::string& buffer);
     void flush();
+    [[nodiscard]] microseconds held_up(std::uint64_t sent_us, timestamp now) noexcept;
 
     event_loop& loop;
     stream::pointer connection;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -117,7 +117,9 @@
 void peers::on_link(const peer_link::pointer& link)
 {
     link->start(
-        [this](const peer_link::pointer& from, hop::Frame& frame) { this->on_frame(from, frame); },
+        [this](const peer_link::pointer& from, hop::Frame& frame, microseconds held_up) {
+            this->on_frame(from, frame, held_up);
+        },
         [this](const peer_link::pointer& from, const std::string& cause) { this->on_lost(from, cause); });
     hop::Frame frame{};
     encode(this->self(), *frame.mutable_hello()->mutable_self());
@@ -127,7 +129,7 @@
     link->send(frame);
 }
 
-void peers::on_frame(const peer_link::pointer& link, hop::Frame& frame)
+void peers::on_frame(const peer_link::pointer& link, hop::Frame& frame, microseconds held_up)
 {
     switch (frame.kind_case()) {
     case hop::Frame::kHello:
@@ -144,7 +146,7 @@
         this->on_record(link, frame.state());
         break;
     case hop::Frame::kRun:
-        this->on_run(link, *frame.mutable_run());
+        this->on_run(link, *frame.mutable_run(), held_up);
         break;
     case hop::Frame::kCancel:
         if (const auto found = link->served.find(frame.cancel().id()); found != link->served.end()) {
@@ -212,7 +214,7 @@
     }
 }
 
-void peers::on_run(const peer_link::pointer& link, hop::Run& message)
+void peers::on_run(const peer_link::pointer& link, hop::Run& message, microseconds held_up)
 {
     const auto id = message.id();
     const auto answer = [link = std::weak_ptr<peer_link>{link}, id](run_result result) {
@@ -233,9 +235,7 @@
         return;
     }
     // The times left in the frame were right when it was sent.
-    const auto now = boot_now();
-    const auto sent_at = now - link->held_up(message.sent_us(), now);
-    link->served.emplace(id, this->shared.host.run(decode(message, sent_at), answer));
+    link->served.emplace(id, this->shared.host.run(decode(message, boot_now() - held_up), answer));
 }
 
 void peers::on_answer(const peer_link::pointer& link, hop::Answer& message)
--- a/src/gateway/peers.hpp
+++ b/src/gateway/peers.hpp
@@ -120,9 +120,9 @@
     void accept();
     void dial(const std::string& node, dialler& to);
     void on_link(const peer_link::pointer& link);
-    void on_frame(const peer_link::pointer& link, hop::Frame& frame);
+    void on_frame(const peer_link::pointer& link, hop::Frame& frame, microseconds held_up);
     void on_record(const peer_link::pointer& link, const hop::Member& message);
-    void on_run(const peer_link::pointer& link, hop::Run& message);
+    void on_run(const peer_link::pointer& link, hop::Run& message, microseconds held_up);
     void on_answer(const peer_link::pointer& link, hop::Answer& message);
     void on_lost(const peer_link::pointer& link, const std::string& cause);
     void drop(const peer_link::pointer& link, const std::string& cause);
--- a/tests/gateway/peer_link.cpp
+++ b/tests/gateway/peer_link.cpp
@@ -36,7 +36,10 @@
         this->link = std::make_shared<peer_link>(this->world.loop,
                                                  stream::adopt(this->world.loop, std::move(accepted)));
         this->link->start(
-            [this](const peer_link::pointer&, hop::Frame& frame) { this->frames.push_back(frame); },
+            [this](const peer_link::pointer&, hop::Frame& frame, microseconds held_up) {
+                this->frames.push_back(frame);
+                this->delays.push_back(held_up);
+            },
             [this](const peer_link::pointer&, const std::string& cause) { this->lost = cause; });
     }
 
@@ -54,6 +57,7 @@
     boost::asio::ip::tcp::socket raw{this->world.loop.context()};
     peer_link::pointer link{};
     std::vector<hop::Frame> frames{};
+    std::vector<microseconds> delays{};
     std::string lost{};
 };
 
@@ -78,15 +82,38 @@
 
 TEST_F(link_to_raw_peer, delay_beyond_the_fastest_frame_is_told)
 {
-    // The sender's clock is 1,000 s ahead; the fastest frame takes 2 ms.
-    const timestamp now{std::chrono::seconds{50}};
-    const auto sent = [&](milliseconds before) {
-        return static_cast<std::uint64_t>(
-            (now + std::chrono::seconds{1'000} - before).time_since_epoch().count());
-    };
-    EXPECT_EQ(this->link->held_up(sent(milliseconds{5}), now), microseconds{0});
-    EXPECT_EQ(this->link->held_up(sent(milliseconds{2}), now), microseconds{0});
-    EXPECT_EQ(this->link->held_up(sent(milliseconds{902}), now), milliseconds{900});
+    // The sender's clock is 1,000 s ahead; the frames take 5, 2 and 902 ms, and 0 stands for an unknown time.
+    std::string bytes{};
+    for (const auto delay : {5, 2, 902, 0}) {
+        auto frame = run_frame(1);
+        const auto sent = timestamp{std::chrono::seconds{1'050}} - milliseconds{delay};
+        frame.set_sent_us(delay == 0 ? 0 : static_cast<std::uint64_t>(sent.time_since_epoch().count()));
+        append_frame(frame, bytes);
+    }
+    this->write(bytes);
+    EXPECT_TRUE(this->world.run_until([this] { return this->delays.size() == 4; }));
+    const std::vector<microseconds> expected{microseconds{0}, microseconds{0}, milliseconds{900},
+                                             microseconds{0}};
+    EXPECT_EQ(this->delays, expected);
+}
+
+TEST_F(link_to_raw_peer, delay_of_the_first_request_is_told)
+{
+    hop::Frame first{};
+    first.mutable_hello();
+    first.set_sent_us(2'000'000);
+    auto late = run_frame(1);
+    late.set_sent_us(2'000'000);
+    std::string bytes{};
+    append_frame(first, bytes);
+    this->write(bytes);
+    EXPECT_TRUE(this->world.run_until([this] { return !this->delays.empty(); }));
+    this->world.run_for(milliseconds{100});
+    bytes.clear();
+    append_frame(late, bytes);
+    this->write(bytes);
+    EXPECT_TRUE(this->world.run_until([this] { return this->delays.size() == 2; }));
+    EXPECT_GE(this->delays.back(), milliseconds{100});
 }
 
 } // namespace
