Reset the connection of a call that is given up, so that the target does not begin it later

Ruled out: the link between the nodes. Now a call that is cancelled or out of time ends with a reset, which makes the target drop what it has not read.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -107,6 +107,10 @@
             if (!address) {
                 continue; // Only the address for metrics may be empty.
             }
+            server->on_accept_error([this](const std::string& cause) {
+                this->log.write(log_level::warn, event_class::state, "gateway", "accept_failed", "cause={}",
+                                log_value(cause));
+            });
             if (const auto bound = server->listen(*address); !bound) {
                 return failure{bound.last_reason()};
             }
--- a/src/gateway/http_client.cpp
+++ b/src/gateway/http_client.cpp
@@ -163,6 +163,9 @@
         if (keep && call.generation == this->generation) {
             this->keep(call.connection, answer);
         }
+        else if (end == call_end::timed_out) {
+            call.connection->abort();
+        }
         else {
             call.connection->close();
         }
@@ -222,7 +225,7 @@
     }
     this->loop.cancel(node.mapped().timer);
     if (node.mapped().connection) {
-        node.mapped().connection->close();
+        node.mapped().connection->abort();
     }
 }
 
--- a/src/gateway/http_server.cpp
+++ b/src/gateway/http_server.cpp
@@ -6,9 +6,6 @@
 
 namespace kumquatdrift {
 
-using boost::asio::ip::tcp;
-using boost::system::error_code;
-
 /*! @brief One connection of a caller. */
 class http_session : public std::enable_shared_from_this<http_session> {
 public:
@@ -181,7 +178,7 @@
 http_server::http_server(event_loop& owner, std::function<caller_limits()> bounds,
                          std::size_t connection_limit, handler function, std::size_t body_limit)
     : loop{owner}, limits{std::move(bounds)}, max_connections{connection_limit}, handle{std::move(function)},
-      max_body_bytes{body_limit}, acceptor{owner.context()}
+      max_body_bytes{body_limit}, listener{owner, [this](const stream::pointer& one) { this->accept(one); }}
 {
 }
 
@@ -192,46 +189,23 @@
 
 result<socket_address> http_server::listen(const socket_address& address)
 {
-    error_code error{};
-    const tcp::endpoint endpoint{boost::asio::ip::make_address_v4(address.ip, error), address.port};
-    this->acceptor.open(tcp::v4(), error);
-    this->acceptor.set_option(tcp::acceptor::reuse_address{true}, error);
-    if (this->acceptor.bind(endpoint, error); !error) {
-        this->acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-        return failure{"cannot listen on " + address.ip + ":" + std::to_string(address.port) + ": " +
-                       error.message()};
-    }
-    this->accept();
-    return socket_address{address.ip, this->acceptor.local_endpoint(error).port()};
-}
-
-void http_server::accept()
-{
-    this->acceptor.async_accept([this](const error_code& error, tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted) {
-            return;
-        }
-        if (!error && this->sessions.size() < this->max_connections) {
-            auto session = std::make_shared<http_session>(*this, stream::adopt(this->loop, std::move(socket)),
-                                                          this->limits());
-            this->sessions.insert(session);
-            session->start();
-        }
-        this->accept();
-    });
+    return this->listener.listen(address);
 }
 
-void http_server::stop_listening()
+void http_server::accept(const stream::pointer& connection)
 {
-    error_code ignored{};
-    this->acceptor.close(ignored);
+    if (this->sessions.size() >= this->max_connections) {
+        connection->close();
+        return;
+    }
+    auto session = std::make_shared<http_session>(*this, connection, this->limits());
+    this->sessions.insert(session);
+    session->start();
 }
 
 void http_server::close()
 {
-    this->stop_listening();
+    this->listener.close();
     for (const auto& session : this->sessions) {
         session->close();
     }
--- a/src/gateway/http_server.hpp
+++ b/src/gateway/http_server.hpp
@@ -7,13 +7,11 @@
 #include <string>
 #include <unordered_set>
 
-#include <boost/asio/ip/tcp.hpp>
-
 #include <kumquatdrift/core/result.hpp>
 #include <kumquatdrift/http/message.hpp>
 #include <kumquatdrift/mesh/config.hpp>
 
-#include "stream.hpp"
+#include "tcp_listener.hpp"
 
 namespace kumquatdrift {
 
@@ -89,8 +87,20 @@
         this->draining = true;
     }
 
+    /**
+     * @brief Sets who hears of connections that cannot be accepted.
+     * @param failed Receives causes.
+     */
+    void on_accept_error(tcp_listener::error_callback failed)
+    {
+        this->listener.on_error(std::move(failed));
+    }
+
     /*! @brief Stops to listen; open connections go on. */
-    void stop_listening();
+    void stop_listening()
+    {
+        this->listener.close();
+    }
 
     /*! @brief Closes all connections and stops to listen. */
     void close();
@@ -109,7 +119,7 @@
 
 private:
     friend class http_session;
-    void accept();
+    void accept(const stream::pointer& connection);
 
     event_loop& loop;
     std::function<caller_limits()> limits;
@@ -117,7 +127,7 @@
     handler handle;
     std::size_t max_body_bytes;
     std::size_t held_bytes{};
-    boost::asio::ip::tcp::acceptor acceptor;
+    tcp_listener listener;
     std::unordered_set<std::shared_ptr<http_session>> sessions{};
     bool draining{};
 };
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -11,9 +11,6 @@
 namespace kumquatdrift {
 namespace {
 
-using boost::asio::ip::tcp;
-using boost::system::error_code;
-
 /*! @brief Time to connect to a node; many times the delay between data centres of a region. */
 constexpr microseconds connect_timeout{400'000};
 /*! @brief Time between attempts to reach a node; a node that starts again is found within it. */
@@ -31,6 +28,8 @@
 /*! @brief Time for which a node may lag behind before it is handed the configuration. The store tells most
  *         nodes within it. */
 constexpr microseconds push_delay{200'000};
+/*! @brief Delay of a frame that is logged; many times the delay between data centres. */
+constexpr microseconds notable_delay{100'000};
 /*! @brief Time between advisories about requests that crash targets. */
 constexpr microseconds advisory_interval{200'000};
 
@@ -38,43 +37,26 @@
 
 peers::peers(const parts& common, std::function<member_record()> own,
              std::function<void(std::uint32_t, const std::string&)> newer_config)
-    : shared{common}, self{std::move(own)}, on_config{std::move(newer_config)}, acceptor{
-                                                                                    common.loop.context()}
+    : shared{common}, self{std::move(own)}, on_config{std::move(newer_config)},
+      listener{common.loop, [this](const stream::pointer& one) { this->accept(one); }}
 {
     this->shared.loop.on_tick([this](timestamp now) { this->on_tick(now); });
+    this->listener.on_error([this](const std::string& cause) {
+        this->shared.log.write(log_level::warn, event_class::state, "peers", "accept_failed", "cause={}",
+                               log_value(cause));
+    });
 }
 
-result<bool> peers::listen(const socket_address& address)
+result<socket_address> peers::listen(const socket_address& address)
 {
-    error_code error{};
-    this->acceptor.open(tcp::v4(), error);
-    this->acceptor.set_option(tcp::acceptor::reuse_address{true}, error);
-    const tcp::endpoint endpoint{boost::asio::ip::make_address_v4(address.ip, error), address.port};
-    if (this->acceptor.bind(endpoint, error); !error) {
-        this->acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-        return failure{"cannot listen for nodes on " + address.ip + ":" + std::to_string(address.port) +
-                       ": " + error.message()};
-    }
-    this->accept();
-    return true;
+    return this->listener.listen(address);
 }
 
-void peers::accept()
+void peers::accept(const stream::pointer& connection)
 {
-    this->acceptor.async_accept([this](const error_code& error, tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted) {
-            return;
-        }
-        if (!error) {
-            auto link = std::make_shared<peer_link>(this->shared.loop,
-                                                    stream::adopt(this->shared.loop, std::move(socket)));
-            this->accepted.insert(link);
-            this->on_link(link);
-        }
-        this->accept();
-    });
+    auto link = std::make_shared<peer_link>(this->shared.loop, connection);
+    this->accepted.insert(link);
+    this->on_link(link);
 }
 
 void peers::on_member(const member_record& record)
@@ -235,6 +217,12 @@
         return;
     }
     // The times left in the frame were right when it was sent.
+    if (held_up > notable_delay) {
+        this->shared.log.write(log_level::info, event_class::failed_request, "peers", "request_held_up",
+                               "id={} node={} held_up_ms={} left_ms={}", log_value(message.attempt()),
+                               link->node, std::chrono::duration_cast<milliseconds>(held_up).count(),
+                               message.time_left_ms());
+    }
     link->served.emplace(id, this->shared.host.run(decode(message, boot_now() - held_up), answer));
 }
 
--- a/src/gateway/peers.hpp
+++ b/src/gateway/peers.hpp
@@ -8,8 +8,6 @@
 #include <string_view>
 #include <unordered_set>
 
-#include <boost/asio/ip/tcp.hpp>
-
 #include <kumquatdrift/core/random.hpp>
 #include <kumquatdrift/core/result.hpp>
 #include <kumquatdrift/mesh/config.hpp>
@@ -19,6 +17,7 @@
 
 #include "peer_link.hpp"
 #include "target_host.hpp"
+#include "tcp_listener.hpp"
 
 namespace kumquatdrift {
 
@@ -56,9 +55,9 @@
     /**
      * @brief Listens for other nodes.
      * @param address Address.
-     * @return True, or why it cannot listen.
+     * @return The address with the port in use, or why it cannot listen.
      */
-    [[nodiscard]] result<bool> listen(const socket_address& address);
+    [[nodiscard]] result<socket_address> listen(const socket_address& address);
 
     /**
      * @brief Takes the address of a node from the store.
@@ -117,7 +116,7 @@
         std::uint32_t failures{};
     };
 
-    void accept();
+    void accept(const stream::pointer& connection);
     void dial(const std::string& node, dialler& to);
     void on_link(const peer_link::pointer& link);
     void on_frame(const peer_link::pointer& link, hop::Frame& frame, microseconds held_up);
@@ -135,7 +134,7 @@
     parts shared;
     std::function<member_record()> self;
     std::function<void(std::uint32_t, const std::string&)> on_config;
-    boost::asio::ip::tcp::acceptor acceptor;
+    tcp_listener listener;
     member_table table{};
     std::map<std::string, dialler, std::less<>> diallers{};
     std::unordered_set<peer_link::pointer> accepted{};
--- a/src/gateway/stream.cpp
+++ b/src/gateway/stream.cpp
@@ -240,6 +240,13 @@
     this->socket.close(ignored);
 }
 
+void stream::abort()
+{
+    error_code ignored{};
+    this->socket.set_option(boost::asio::socket_base::linger{true, 0}, ignored);
+    this->close();
+}
+
 void stream::close_when_sent()
 {
     this->closing = true;
--- a/src/gateway/stream.hpp
+++ b/src/gateway/stream.hpp
@@ -118,6 +118,9 @@
     /*! @brief Closes at once. */
     void close();
 
+    /*! @brief Closes with a reset, so that the peer drops what it has not read yet. */
+    void abort();
+
     /*! @brief Closes once all that was sent has been taken. */
     void close_when_sent();
 
--- /dev/null
+++ b/tests/gateway/peers.cpp
@@ -0,0 +1,94 @@
+#include <gateway/peers.hpp>
+
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <gateway/hop_codec.hpp>
+#include <support/gateway_world.hpp>
+
+namespace kumquatdrift {
+namespace {
+
+/*! @brief A node whose peer is a raw connection of the test, with a clock of its own. */
+class node_with_raw_peer : public testing::Test {
+protected:
+    node_with_raw_peer()
+    {
+        this->host.set_address(this->target.address);
+        EXPECT_TRUE(this->host.on_report(report_of(report_state::ready, 5)));
+        const auto bound = this->links.listen({"127.0.0.1", 0});
+        EXPECT_TRUE(bound);
+        this->raw.connect({boost::asio::ip::make_address_v4("127.0.0.1"), bound->port});
+    }
+
+    /*! @brief Sends a frame as if it had been held up on the way. */
+    void send(hop::Frame frame, milliseconds held_up)
+    {
+        const auto sent = boot_now() - held_up;
+        frame.set_sent_us(static_cast<std::uint64_t>(sent.time_since_epoch().count()));
+        std::string bytes{};
+        append_frame(frame, bytes);
+        boost::asio::write(this->raw, boost::asio::buffer(bytes));
+    }
+
+    static hop::Frame hello()
+    {
+        hop::Frame frame{};
+        member_record other{};
+        other.node = "other";
+        other.ip = "127.0.0.1";
+        other.port = 9;
+        encode(other, *frame.mutable_hello()->mutable_self());
+        return frame;
+    }
+
+    static hop::Frame run(std::uint64_t id)
+    {
+        hop::Frame frame{};
+        const auto order = order_of("r" + std::to_string(id));
+        encode(*order, boot_now(), *frame.mutable_run());
+        frame.mutable_run()->set_id(id);
+        return frame;
+    }
+
+    gateway_world world{};
+    scripted_target target{this->world.loop};
+    target_host host{{this->world.loop, this->world.platform, this->world.log, this->world.metrics,
+                      this->world.quarantine},
+                     "node",
+                     std::chrono::seconds{60},
+                     [] {}};
+    random_engine rng{1};
+    peers links{{this->world.loop, this->world.log, this->host, this->world.quarantine, this->rng},
+                [] {
+                    member_record own{};
+                    own.node = "node";
+                    own.ip = "127.0.0.1";
+                    own.port = 8;
+                    return own;
+                },
+                [](std::uint32_t, const std::string&) {}};
+    boost::asio::ip::tcp::socket raw{this->world.loop.context()};
+};
+
+TEST_F(node_with_raw_peer, request_in_time_reaches_the_target)
+{
+    this->send(hello(), milliseconds{0});
+    this->send(run(1), milliseconds{0});
+    EXPECT_TRUE(this->world.run_until([this] { return this->target.seen.size() == 1; }));
+}
+
+TEST_F(node_with_raw_peer, first_request_that_was_held_up_beyond_its_time_is_not_begun)
+{
+    this->send(hello(), milliseconds{0});
+    // The request has a second from the time at which it was sent.
+    this->send(run(1), milliseconds{1'200});
+    this->send(run(2), milliseconds{0});
+    EXPECT_TRUE(this->world.run_until([this] { return !this->target.seen.empty(); }));
+    this->world.run_for(milliseconds{50});
+    ASSERT_EQ(this->target.seen.size(), 1U);
+    EXPECT_EQ(*find_field(this->target.seen.front()->request.fields, "X-Id"), "r2");
+}
+
+} // namespace
+} // namespace kumquatdrift
