Place and queue requests by the time of their route and the slowness of the target

The mean time of a target stood for the next request. A target that got the long uploads looked ten times slower than one that got the short inner calls, so that the short ones went across to it, which kept both means as they were. Ruled out: lack of room (local targets had 0 to 6 of 12 slots in use), failures, cold targets, first requests. Now the entry knows the mean time of each route over all targets; the target's node knows by how much its target is slower than that for the requests it ran (slowness, which quick failures do not lower), and the queue judges with the same time whether a request can finish.

--- a/include/kumquatdrift/mesh/members.hpp
+++ b/include/kumquatdrift/mesh/members.hpp
@@ -72,6 +72,8 @@
     std::uint32_t slots{};
     /*! @brief Mean time that a request holds a slot, 0 until one has ended. */
     microseconds service_time{};
+    /*! @brief Time that requests take there over the time that they take on the mean of all targets. */
+    double slowness{1.0};
 };
 
 /*! @brief What a node says of itself and its target. */
--- a/include/kumquatdrift/traffic/fwd.hpp
+++ b/include/kumquatdrift/traffic/fwd.hpp
@@ -41,6 +41,7 @@
 class retry_share;
 class failure_share;
 class caller_age;
+class service_times;
 
 } // namespace kumquatdrift
 
--- a/include/kumquatdrift/traffic/placement.hpp
+++ b/include/kumquatdrift/traffic/placement.hpp
@@ -53,6 +53,8 @@
     microseconds objective_left{};
     /*! @brief Time after which an answer is useless. */
     microseconds useful_left{};
+    /*! @brief Time for which requests of the route hold a slot, on the mean of all targets; 0 if unknown. */
+    microseconds expected{};
 };
 
 /*! @brief Where to send a request. */
--- a/include/kumquatdrift/traffic/run_queue.hpp
+++ b/include/kumquatdrift/traffic/run_queue.hpp
@@ -31,6 +31,8 @@
     timestamp deadline{};
     /*! @brief For an inner call, a hash of the request on whose behalf it is made; 0 for others. */
     std::uint64_t group{};
+    /*! @brief Time for which it will hold a slot on the mean of all targets; 0 if unknown. */
+    microseconds expected{};
     /*! @brief Set by the queue: the objective had passed when it was offered. */
     bool late{};
     /*! @brief Set by the queue: a late request that has not started by then is refused. */
@@ -85,10 +87,10 @@
     /**
      * @brief Frees the slot of a request.
      * @param id Id of the request.
-     * @param answered True if the target answered, so that its time counts for the estimate.
+     * @param succeeded True if the target answered with success, so that its time counts for the estimate.
      * @param now Current time.
      */
-    void finish(std::uint64_t id, bool answered, timestamp now);
+    void finish(std::uint64_t id, bool succeeded, timestamp now);
 
     /**
      * @brief Starts the next waiting request for which there is a slot.
@@ -123,6 +125,7 @@
     void forget_target() noexcept
     {
         this->mean_service = {};
+        this->slowness = 1.0;
     }
 
     /**
@@ -143,17 +146,24 @@
     /*! @brief Order of starts that do not go by rank: the time until which an answer is useful. */
     using due = std::pair<timestamp, std::uint64_t>;
 
+    struct run_start {
+        timestamp since{};
+        microseconds expected{};
+    };
+
     [[nodiscard]] static place place_of(const run_request& request) noexcept;
     [[nodiscard]] static due due_of(const run_request& request) noexcept;
     [[nodiscard]] bool can_finish(const run_request& request, microseconds wait,
                                   timestamp now) const noexcept;
     [[nodiscard]] microseconds wait_behind(std::size_t ahead) const noexcept;
+    [[nodiscard]] microseconds service_of(const run_request& request) const noexcept;
     [[nodiscard]] std::size_t starts_before(const run_request& request) const;
     void erase(std::uint64_t id);
 
     std::uint32_t slots{};
     microseconds mean_service{};
-    std::unordered_map<std::uint64_t, timestamp> running{};
+    double slowness{1.0};
+    std::unordered_map<std::uint64_t, run_start> running{};
     std::map<place, run_request> waiting{};
     std::unordered_map<std::uint64_t, place> places{};
     std::set<due> by_due{};
--- a/src/gateway/entry.cpp
+++ b/src/gateway/entry.cpp
@@ -133,6 +133,7 @@
         message.fields, {headers.time_left_ms, headers.expected_instance, headers.caller_service});
     order->fingerprint =
         crash_quarantine::fingerprint(order->service, message.method, message.target, message.body);
+    order->expected = this->durations.expected(route.name);
     order->method = message.method;
     order->target = message.target;
     order->body = std::move(message.body);
@@ -174,9 +175,9 @@
     }
     // Whether there is time to wait is decided at the target's node, which knows who else waits; only a
     // request that would wait beyond its end is refused here.
-    const auto chosen =
-        place_request(choices, {one->route->objective, order.objective - now, order.deadline - now},
-                      this->shared.settings.placement, this->shared.rng);
+    const auto chosen = place_request(
+        choices, {one->route->objective, order.objective - now, order.deadline - now, order.expected},
+        this->shared.settings.placement, this->shared.rng);
     if (!chosen.candidate) {
         one->time_to_room = chosen.time_to_room;
         this->refuse(one, "no_room");
@@ -210,6 +211,9 @@
         return;
     }
     const auto failed = result.end != run_end::answered || result.status >= 500;
+    if (!failed) {
+        this->durations.observe(one.route->name, result.ran);
+    }
     if (one.node.empty()) {
         if (std::exchange(this->own_instance, result.instance) != result.instance) {
             this->own_failed = {};
--- a/src/gateway/entry.hpp
+++ b/src/gateway/entry.hpp
@@ -18,6 +18,7 @@
 #include <kumquatdrift/traffic/caller_age.hpp>
 #include <kumquatdrift/traffic/placement.hpp>
 #include <kumquatdrift/traffic/retry_share.hpp>
+#include <kumquatdrift/traffic/service_times.hpp>
 
 #include "http_server.hpp"
 #include "peers.hpp"
@@ -132,6 +133,7 @@
     std::shared_ptr<const route_index> routes{};
     part_chooser chooser{};
     caller_age ages{};
+    service_times durations{};
     retry_share retries;
     std::unordered_set<request_ptr> requests{};
     failure_share own_failed{};
--- a/src/gateway/hop_codec.cpp
+++ b/src/gateway/hop_codec.cpp
@@ -1,6 +1,7 @@
 #include "hop_codec.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <utility>
 
@@ -8,6 +9,7 @@
 namespace {
 
 constexpr std::size_t length_bytes = 4;
+constexpr double per_mille = 1'000.0;
 
 milliseconds left(timestamp until, timestamp now)
 {
@@ -58,11 +60,13 @@
     into.set_waiting(load.waiting);
     into.set_slots(load.slots);
     into.set_service_us(static_cast<std::uint32_t>(load.service_time.count()));
+    into.set_slowness_permille(static_cast<std::uint32_t>(std::lround(load.slowness * per_mille)));
 }
 
 target_load decode(const hop::Load& from)
 {
-    return {from.running(), from.waiting(), from.slots(), microseconds{from.service_us()}};
+    const auto slowness = from.slowness_permille() == 0 ? 1.0 : from.slowness_permille() / per_mille;
+    return {from.running(), from.waiting(), from.slots(), microseconds{from.service_us()}, slowness};
 }
 
 void encode(const member_record& record, hop::Member& into)
@@ -121,6 +125,7 @@
     into.set_group(order.group);
     into.set_caller_service(order.caller_service);
     into.set_fingerprint(order.fingerprint);
+    into.set_expected_us(static_cast<std::uint32_t>(order.expected.count()));
 }
 
 run_order_ptr decode(hop::Run& from, timestamp now)
@@ -140,6 +145,7 @@
     order->group = from.group();
     order->caller_service = std::move(*from.mutable_caller_service());
     order->fingerprint = from.fingerprint();
+    order->expected = microseconds{from.expected_us()};
     return order;
 }
 
@@ -153,6 +159,7 @@
     into.set_retry_after_ms(number(std::chrono::ceil<milliseconds>(result.time_to_room)));
     into.set_cause(std::move(result.cause));
     into.set_instance(std::move(result.instance));
+    into.set_ran_us(static_cast<std::uint32_t>(result.ran.count()));
     encode(result.load, *into.mutable_load());
 }
 
@@ -171,6 +178,7 @@
     result.cause = std::move(*from.mutable_cause());
     result.instance = std::move(*from.mutable_instance());
     result.load = decode(from.load());
+    result.ran = microseconds{from.ran_us()};
     return result;
 }
 
--- a/src/gateway/run.hpp
+++ b/src/gateway/run.hpp
@@ -46,6 +46,8 @@
     std::uint64_t group{};
     /*! @brief Tells requests apart that may crash targets. */
     std::uint64_t fingerprint{};
+    /*! @brief Time for which requests of its route hold a slot, on the mean of all targets; 0 if unknown. */
+    microseconds expected{};
 };
 
 /*! @brief Shared reference to an order. */
@@ -126,6 +128,8 @@
     std::string cause{};
     /*! @brief Id of the target. */
     std::string instance{};
+    /*! @brief Time for which it held a slot, 0 if it did not run. */
+    microseconds ran{};
 };
 
 /*! @brief Cause of a refusal by a node whose target has no room in time. */
--- a/src/gateway/target_host.cpp
+++ b/src/gateway/target_host.cpp
@@ -149,11 +149,11 @@
     const auto now = boot_now();
     this->runs.emplace(id, pending_run{order, std::move(done), 0, false, now});
     const auto refusal = this->refusal_of(*order);
-    const auto decision =
-        refusal.empty()
-            ? this->queue.offer(
-                  {id, order->priority, order->inner, order->objective, order->deadline, order->group}, now)
-            : run_decision::refuse;
+    const auto decision = refusal.empty()
+                              ? this->queue.offer({id, order->priority, order->inner, order->objective,
+                                                   order->deadline, order->group, order->expected},
+                                                  now)
+                              : run_decision::refuse;
     if (decision == run_decision::run) {
         this->dispatch(id);
     }
@@ -257,11 +257,12 @@
     const auto now = boot_now();
     const auto& order = *found->second.order;
     auto result = this->classify(order, outcome);
-    this->queue.finish(id, result.end == run_end::answered, now);
+    this->queue.finish(id, result.end == run_end::answered && result.status < 500, now);
     if (outcome.end == call_end::answered) {
         this->answered_at = now;
     }
     if (result.end == run_end::answered) {
+        result.ran = now - found->second.began;
         this->run_seconds.observe(std::chrono::duration<double>{now - found->second.began}.count());
         this->shared.quarantine.on_success(order.fingerprint, this->node, now);
     }
--- a/src/traffic/placement.cpp
+++ b/src/traffic/placement.cpp
@@ -6,7 +6,8 @@
 namespace kumquatdrift {
 namespace {
 
-/*! @brief Service time assumed until a node reports one; a middling request of today's services. */
+/*! @brief Service time assumed until a request or a node tells one; a middling request of today's services.
+ */
 constexpr microseconds assumed_service{100'000};
 
 /*! @brief Factor on the service time of a cold target. */
@@ -44,15 +45,16 @@
     double service{};
 };
 
-expectation expect(const placement_candidate& candidate) noexcept
+expectation expect(const placement_candidate& candidate, microseconds of_route) noexcept
 {
     const auto& load = candidate.load;
-    const auto service = seconds(load.service_time.count() > 0 ? load.service_time : assumed_service) *
-                         (candidate.cold_left.count() > 0 ? cold_factor : 1.0);
+    const auto cold = candidate.cold_left.count() > 0 ? cold_factor : 1.0;
+    const auto mean = seconds(load.service_time.count() > 0 ? load.service_time : assumed_service) * cold;
+    const auto service = of_route.count() > 0 ? seconds(of_route) * load.slowness * cold : mean;
     const auto busy = static_cast<double>(load.running) + load.waiting + candidate.sent_since_load;
     const auto slots = std::max(1.0, static_cast<double>(load.slots));
     const auto backlog = std::max(0.0, busy + 1.0 - slots);
-    return {service * backlog / slots, service};
+    return {mean * backlog / slots, service};
 }
 
 /*! @brief What all targets fail alike is no reason to prefer one: their calls fail, or the requests are at
@@ -90,7 +92,7 @@
         if (candidate.load.slots == 0 || (candidate.ejected && any_sound)) {
             continue;
         }
-        const auto expected = expect(candidate);
+        const auto expected = expect(candidate, times.expected);
         shortest_wait = std::min(shortest_wait, expected.wait);
         const auto limit = candidate.local ? useful : std::min(useful, seconds(times.objective_left));
         if (expected.wait > 0.0 && expected.wait + expected.service / 2 > limit) {
--- a/src/traffic/run_queue.cpp
+++ b/src/traffic/run_queue.cpp
@@ -3,14 +3,21 @@
 #include <algorithm>
 #include <iterator>
 
+#include <kumquatdrift/traffic/service_times.hpp>
+
 namespace kumquatdrift {
 namespace {
 
-/*! @brief Weight of the newest request in the mean service time; follows a change within some 20 requests. */
-constexpr double service_time_gain = 0.1;
+/*! @brief Weight of the newest request in the means; follows a change within some 20 requests. */
+constexpr double newest_weight = 0.1;
+
+/*! @brief Bounds of the slowness that a single request shows, so that one odd request does not move the mean
+ *         by much. */
+constexpr double least_slowness = 0.1;
+constexpr double greatest_slowness = 10.0;
 
-/*! @brief Part of the mean service time that has to fit before the end. Half of the requests are shorter than
- *         the mean, because the distribution has a long tail. */
+/*! @brief Part of the expected service time that has to fit before the end. Half of the requests are shorter
+ * than the mean, because the distribution has a long tail. */
 constexpr double needed_service = 0.75;
 
 /*! @brief Rank of inner calls, before all others. */
@@ -55,10 +62,17 @@
            static_cast<microseconds::rep>(std::max(this->slots, 1U));
 }
 
+microseconds run_queue::service_of(const run_request& request) const noexcept
+{
+    return request.expected.count() > 0 ? microseconds{static_cast<microseconds::rep>(
+                                              static_cast<double>(request.expected.count()) * this->slowness)}
+                                        : this->mean_service;
+}
+
 bool run_queue::can_finish(const run_request& request, microseconds wait, timestamp now) const noexcept
 {
-    const auto service = microseconds{
-        static_cast<microseconds::rep>(static_cast<double>(this->mean_service.count()) * needed_service)};
+    const auto service = microseconds{static_cast<microseconds::rep>(
+        static_cast<double>(this->service_of(request).count()) * needed_service)};
     return now + wait + service <= useful_until(request, now) && now + wait <= request.start_until;
 }
 
@@ -83,7 +97,7 @@
         return run_decision::refuse;
     }
     if (this->waiting.empty() && this->running.size() < this->slots) {
-        this->running.emplace(request.id, now);
+        this->running.emplace(request.id, run_start{now, request.expected});
         return run_decision::run;
     }
     if (!this->can_finish(request, this->wait_behind(this->starts_before(request)), now)) {
@@ -98,20 +112,25 @@
     return run_decision::wait;
 }
 
-void run_queue::finish(std::uint64_t id, bool answered, timestamp now)
+void run_queue::finish(std::uint64_t id, bool succeeded, timestamp now)
 {
     const auto found = this->running.find(id);
     if (found == this->running.end()) {
         return;
     }
-    if (answered) {
-        const auto held = now - found->second;
-        this->mean_service =
-            this->mean_service.count() == 0
-                ? held
-                : microseconds{static_cast<microseconds::rep>(
-                      static_cast<double>(this->mean_service.count()) * (1.0 - service_time_gain) +
-                      static_cast<double>(held.count()) * service_time_gain)};
+    const auto [since, expected] = found->second;
+    const auto held = std::chrono::duration_cast<microseconds>(now - since);
+    if (succeeded) {
+        this->mean_service = moving_mean(this->mean_service, held, newest_weight);
+    }
+    if (expected.count() > 0) {
+        const auto shown =
+            std::clamp(static_cast<double>(held.count()) / static_cast<double>(expected.count()),
+                       least_slowness, greatest_slowness);
+        // A request that did not succeed would have taken longer, so that it can only show slowness.
+        if (succeeded || shown > this->slowness) {
+            this->slowness += (shown - this->slowness) * newest_weight;
+        }
     }
     this->running.erase(found);
 }
@@ -123,8 +142,9 @@
     }
     const auto goes_by_due = ++this->starts % share_interval == 0 && !this->by_due.empty();
     const auto id = goes_by_due ? this->by_due.begin()->second : this->waiting.begin()->second.id;
+    const auto expected = this->waiting.at(this->places.at(id)).expected;
     this->erase(id);
-    this->running.emplace(id, now);
+    this->running.emplace(id, run_start{now, expected});
     return id;
 }
 
@@ -175,7 +195,8 @@
 target_load run_queue::load() const noexcept
 {
     return {static_cast<std::uint32_t>(this->running.size()),
-            static_cast<std::uint32_t>(this->waiting.size()), this->slots, this->mean_service};
+            static_cast<std::uint32_t>(this->waiting.size()), this->slots, this->mean_service,
+            this->slowness};
 }
 
 microseconds run_queue::time_to_room() const noexcept
--- a/tests/gateway/hop_codec.cpp
+++ b/tests/gateway/hop_codec.cpp
@@ -44,6 +44,7 @@
     order.objective = sent_at - milliseconds{5};
     order.inner = true;
     order.repeatable = true;
+    order.expected = milliseconds{30};
     hop::Frame frame{};
     encode(order, sent_at, *frame.mutable_run());
     std::string bytes{};
@@ -58,6 +59,23 @@
     EXPECT_EQ(decoded->objective, received_at);
     EXPECT_TRUE(decoded->inner);
     EXPECT_TRUE(decoded->repeatable);
+    EXPECT_EQ(decoded->expected, milliseconds{30});
+}
+
+TEST(hop_answer, round_trip_keeps_time_in_slot_and_slowness)
+{
+    run_result result{};
+    result.end = run_end::answered;
+    result.ran = milliseconds{70};
+    result.load.slowness = 2.5;
+    hop::Answer answer{};
+    encode(result, answer);
+    const auto decoded = decode(answer);
+    EXPECT_EQ(decoded.ran, milliseconds{70});
+    EXPECT_DOUBLE_EQ(decoded.load.slowness, 2.5);
+    // A node that does not tell it is taken as middling.
+    answer.mutable_load()->clear_slowness_permille();
+    EXPECT_DOUBLE_EQ(decode(answer).load.slowness, 1.0);
 }
 
 TEST(hop_answer, unknown_end_promises_nothing)
--- a/tests/traffic/placement.cpp
+++ b/tests/traffic/placement.cpp
@@ -49,6 +49,30 @@
     EXPECT_EQ(this->place({target_of(2, false, false), busy}).candidate, 0U);
 }
 
+TEST_F(placing, short_request_stays_where_long_ones_ran)
+{
+    // The own data centre ran long requests lately, the other one short ones; both are as fast.
+    auto near = target_of(3, false, true);
+    near.load.service_time = milliseconds{250};
+    auto far = target_of(3, false, false);
+    far.load.service_time = milliseconds{20};
+    placement_times times{milliseconds{120}, milliseconds{120}, milliseconds{120}, milliseconds{30}};
+    for (int turn = 0; turn < 100; ++turn) {
+        EXPECT_EQ(place_request(std::array{far, near}, times, this->settings, this->rng).candidate, 1U);
+    }
+}
+
+TEST_F(placing, slow_target_is_left_for_another_data_centre)
+{
+    auto near = target_of(3, false, true);
+    near.load.slowness = 5.0;
+    const auto far = target_of(3, false, false);
+    placement_times times{milliseconds{120}, milliseconds{120}, milliseconds{120}, milliseconds{30}};
+    for (int turn = 0; turn < 100; ++turn) {
+        EXPECT_EQ(place_request(std::array{far, near}, times, this->settings, this->rng).candidate, 0U);
+    }
+}
+
 TEST_F(placing, requests_sent_since_report_count)
 {
     auto first = target_of(0, false, true);
--- a/tests/traffic/run_queue.cpp
+++ b/tests/traffic/run_queue.cpp
@@ -44,6 +44,45 @@
     run_queue queue{};
 };
 
+TEST_F(queue_of_two_slots, short_request_waits_where_the_mean_would_refuse_it)
+{
+    // The mean of the target is 100 ms; a request that takes 10 ms still fits behind one of them.
+    this->fill();
+    auto request = request_of(3, 1, milliseconds{70}, milliseconds{900});
+    request.expected = milliseconds{10};
+    EXPECT_EQ(this->queue.offer(request, start), run_decision::wait);
+    request.id = 4;
+    request.expected = milliseconds{0};
+    EXPECT_EQ(this->queue.offer(request, start), run_decision::refuse);
+}
+
+TEST_F(queue_of_two_slots, slowness_compares_with_what_requests_take_elsewhere)
+{
+    std::uint64_t id = 0;
+    const auto run = [&](milliseconds expected, milliseconds taken, bool succeeded) {
+        auto request = request_of(++id, 1, milliseconds{500}, milliseconds{900});
+        request.expected = expected;
+        EXPECT_EQ(this->queue.offer(request, start), run_decision::run);
+        this->queue.finish(id, succeeded, start + taken);
+    };
+    for (int turn = 0; turn < 50; ++turn) {
+        run(milliseconds{100}, milliseconds{400}, true);
+        run(milliseconds{20}, milliseconds{80}, true);
+    }
+    EXPECT_NEAR(this->queue.load().slowness, 4.0, 0.1);
+    // Quick failures show nothing of the speed, failures after a long time do.
+    for (int turn = 0; turn < 50; ++turn) {
+        run(milliseconds{100}, milliseconds{1}, false);
+    }
+    EXPECT_NEAR(this->queue.load().slowness, 4.0, 0.1);
+    for (int turn = 0; turn < 50; ++turn) {
+        run(milliseconds{100}, milliseconds{800}, false);
+    }
+    EXPECT_NEAR(this->queue.load().slowness, 8.0, 0.2);
+    this->queue.forget_target();
+    EXPECT_EQ(this->queue.load().slowness, 1.0);
+}
+
 TEST_F(queue_of_two_slots, full_lets_request_wait)
 {
     this->fill();
