Stop dialling an address that another node has taken on each tick

Now such a node is tried every 10 s until it calls or another record tells where it is, and a link that is lost at once is tried again after the usual interval. Both tests failed first (24 and 33 attempts within a second).

--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -17,6 +17,8 @@
 constexpr microseconds dial_interval{300'000};
 /*! @brief Longest time between attempts, for a node that has been away for long. */
 constexpr microseconds longest_dial_interval{2'000'000};
+/*! @brief Time between attempts to reach a node whose address another node has taken. */
+constexpr microseconds taken_address_interval{10'000'000};
 /*! @brief Time between pings on a link on which requests wait. */
 constexpr microseconds ping_interval{300'000};
 /*! @brief Time between pings on an idle link; loads of the targets there are as old as this. */
@@ -120,7 +122,7 @@
             const auto record = decode(message);
             if (record && record->node != this->self().node &&
                 this->table.learn(*record, member_table::origin::hearsay, boot_now())) {
-                this->diallers[record->node];
+                this->diallers[record->node].next_try = {};
             }
         }
         break;
@@ -170,10 +172,13 @@
         return;
     }
     if (link->dialled && link->node != record->node) {
-        // The address now belongs to another node.
-        this->table.learn(*record, member_table::origin::hearsay, boot_now());
-        this->diallers[record->node];
+        // The address now belongs to another node. The earlier one calls, or the store tells where it is.
+        if (this->table.learn(*record, member_table::origin::hearsay, boot_now())) {
+            this->diallers[record->node].next_try = {};
+        }
+        const auto earlier = link->node;
         this->drop(link, "the address belongs to " + record->node);
+        this->diallers[earlier].next_try = boot_now() + taken_address_interval;
         return;
     }
     link->node = record->node;
@@ -251,8 +256,8 @@
     if (link->dialled) {
         if (const auto found = this->diallers.find(link->node);
             found != this->diallers.end() && found->second.link == link) {
+            // The next attempt comes no sooner than a dial interval after this one began.
             found->second.link = nullptr;
-            found->second.next_try = {};
         }
         this->set_reachable(link->node, false, cause);
         if (auto* known = this->table.find(link->node)) {
--- a/tests/gateway/peers.cpp
+++ b/tests/gateway/peers.cpp
@@ -1,5 +1,8 @@
 #include <gateway/peers.hpp>
 
+#include <functional>
+#include <vector>
+
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
@@ -90,5 +93,64 @@
     EXPECT_EQ(*find_field(this->target.seen.front()->request.fields, "X-Id"), "r2");
 }
 
+TEST_F(node_with_raw_peer, address_that_belongs_to_another_node_now_is_dialled_once)
+{
+    boost::asio::ip::tcp::acceptor acceptor{this->world.loop.context(),
+                                            {boost::asio::ip::make_address_v4("127.0.0.1"), 0}};
+    std::vector<boost::asio::ip::tcp::socket> dialled{};
+    const std::function<void()> accept = [&] {
+        acceptor.async_accept(
+            [&](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
+                if (!error) {
+                    std::string bytes{};
+                    append_frame(hello(), bytes);
+                    boost::asio::write(socket, boost::asio::buffer(bytes));
+                    dialled.push_back(std::move(socket));
+                    accept();
+                }
+            });
+    };
+    accept();
+    member_record earlier{};
+    earlier.node = "earlier";
+    earlier.ip = "127.0.0.1";
+    earlier.port = acceptor.local_endpoint().port();
+    earlier.revision = 1;
+    this->links.on_member(earlier);
+    EXPECT_TRUE(this->world.run_until([&] { return !dialled.empty(); }));
+    this->world.run_for(milliseconds{700});
+    EXPECT_EQ(dialled.size(), 1U);
+
+    // The earlier node calls from there again.
+    hop::Frame back{};
+    encode(earlier, *back.mutable_hello()->mutable_self());
+    this->send(back, milliseconds{0});
+    EXPECT_TRUE(this->world.run_until([&] { return dialled.size() == 2U; }));
+}
+
+TEST_F(node_with_raw_peer, link_that_is_lost_at_once_is_not_dialled_on_each_tick)
+{
+    boost::asio::ip::tcp::acceptor acceptor{this->world.loop.context(),
+                                            {boost::asio::ip::make_address_v4("127.0.0.1"), 0}};
+    std::size_t dialled{};
+    const std::function<void()> accept = [&] {
+        acceptor.async_accept([&](const boost::system::error_code& error, boost::asio::ip::tcp::socket) {
+            if (!error) {
+                ++dialled;
+                accept();
+            }
+        });
+    };
+    accept();
+    member_record other{};
+    other.node = "closes";
+    other.ip = "127.0.0.1";
+    other.port = acceptor.local_endpoint().port();
+    this->links.on_member(other);
+    this->world.run_for(milliseconds{1'000});
+    EXPECT_GE(dialled, 2U);
+    EXPECT_LE(dialled, 5U);
+}
+
 } // namespace
 } // namespace kumquatdrift
