Send a large request to another data centre only where there is room to spare

Ruled out as a remedy: a price by bytes alone, since a request that its own data centre refused has only distant targets left. Now a request with a body over 16 KiB crosses only to a target that has no queue and a third of its slots free.

--- a/include/kumquatdrift/traffic/placement.hpp
+++ b/include/kumquatdrift/traffic/placement.hpp
@@ -1,6 +1,7 @@
 #ifndef KUMQUATDRIFT_TRAFFIC_PLACEMENT_HPP
 #define KUMQUATDRIFT_TRAFFIC_PLACEMENT_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -55,6 +56,8 @@
     microseconds useful_left{};
     /*! @brief Time for which requests of the route hold a slot, on the mean of all targets; 0 if unknown. */
     microseconds expected{};
+    /*! @brief Bytes of its body. */
+    std::size_t body_bytes{};
 };
 
 /*! @brief Where to send a request. */
--- a/src/gateway/entry.cpp
+++ b/src/gateway/entry.cpp
@@ -175,9 +175,10 @@
     }
     // Whether there is time to wait is decided at the target's node, which knows who else waits; only a
     // request that would wait beyond its end is refused here.
-    const auto chosen = place_request(
-        choices, {one->route->objective, order.objective - now, order.deadline - now, order.expected},
-        this->shared.settings.placement, this->shared.rng);
+    const auto chosen = place_request(choices,
+                                      {one->route->objective, order.objective - now, order.deadline - now,
+                                       order.expected, order.body.size()},
+                                      this->shared.settings.placement, this->shared.rng);
     if (!chosen.candidate) {
         one->time_to_room = chosen.time_to_room;
         this->refuse(one, "no_room");
--- a/src/traffic/placement.cpp
+++ b/src/traffic/placement.cpp
@@ -25,6 +25,14 @@
 /*! @brief Times the mean of all targets that one may fail before it counts as worse than the others. */
 constexpr double usual_failures_factor = 1.5;
 
+/*! @brief Body above which a request is too dear to cross between data centres for nothing. */
+constexpr std::size_t large_body_bytes = 16'384;
+
+/*! @brief Part of the slots of a target in another data centre that may be in use when a large request is
+ * sent there. Above it the room may be gone on arrival, and where all data centres are full, each would send
+ *         its large requests to the next. */
+constexpr double fill_for_large = 0.7;
+
 /*! @brief Difference of shares below which targets count as alike: the noise of a share over some ten
  * requests. */
 constexpr double least_difference = 0.05;
@@ -98,6 +106,13 @@
         if (expected.wait > 0.0 && expected.wait + expected.service / 2 > limit) {
             continue;
         }
+        // Among targets with room, the one with more free slots is likelier to still have one on arrival.
+        const auto fill = static_cast<double>(candidate.load.running + candidate.sent_since_load) /
+                          std::max(1U, candidate.load.slots);
+        if (!candidate.local && times.body_bytes > large_body_bytes &&
+            (expected.wait > 0.0 || fill > fill_for_large)) {
+            continue;
+        }
         const auto first = candidate.untried && expected.wait == 0.0 && candidate.cold_left.count() <= 0;
         if (first) {
             return {index, microseconds{0}};
@@ -105,9 +120,6 @@
         const auto distance =
             candidate.own ? 0.0
                           : scale * (candidate.local ? settings.other_node : settings.other_data_centre);
-        // Among targets with room, the one with more free slots is likelier to still have one on arrival.
-        const auto fill = static_cast<double>(candidate.load.running + candidate.sent_since_load) /
-                          std::max(1U, candidate.load.slots);
         const auto cost = (expected.wait + expected.service * (1.0 + fill_weight * fill)) * noise(rng) +
                           distance +
                           scale * failure_weight * std::max(0.0, candidate.failed - usual_failures);
--- a/tests/traffic/placement.cpp
+++ b/tests/traffic/placement.cpp
@@ -73,6 +73,22 @@
     }
 }
 
+TEST_F(placing, large_request_crosses_only_to_a_target_with_room_to_spare)
+{
+    auto near = target_of(10, false, true);
+    near.load.waiting = 60;
+    const auto times = [](std::size_t bytes) {
+        return placement_times{milliseconds{400}, milliseconds{400}, milliseconds{400}, milliseconds{100},
+                               bytes};
+    };
+    const auto chosen = [&](const placement_candidate& far, std::size_t bytes) {
+        return place_request(std::array{near, far}, times(bytes), this->settings, this->rng).candidate;
+    };
+    EXPECT_EQ(chosen(target_of(9, false, false), 1'000), 1U);
+    EXPECT_EQ(chosen(target_of(5, false, false), 60'000), 1U);
+    EXPECT_FALSE(chosen(target_of(9, false, false), 60'000));
+}
+
 TEST_F(placing, requests_sent_since_report_count)
 {
     auto first = target_of(0, false, true);
