--- /dev/null
+++ b/scripts/lib/days.py
@@ -0,0 +1,110 @@
+"""Prints where the credit of played days goes, and plots what callers got over time. See scripts/days."""
+
+import argparse
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+# Time for one day on the bench, in seconds; the longest of today's days takes 60 beside others.
+DAY_TIMEOUT_S = 400
+# Shares of the day's credit below which a price is not worth a line.
+LEAST_PRICE = 0.0005
+OUTCOMES = (("in_aim", "#2e7d32"), ("late", "#f9a825"), ("refused", "#1565c0"), ("failed", "#c62828"))
+WIDTH, HEIGHT, MARGIN = 900, 260, 40
+
+
+def read_report(path):
+    """Returns a report, or raises ValueError with what is wrong."""
+    try:
+        report = json.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, json.JSONDecodeError) as error:
+        raise ValueError(f"{path}: not a readable report: {error}") from error
+    missing = [key for key in ("G", "classes", "windows", "prices") if key not in report]
+    if missing:
+        raise ValueError(f"{path}: no report of a day: {', '.join(missing)} missing")
+    return report
+
+
+def class_rows(report):
+    """Returns (name, asked, in time, late, refused, failed, not owed, worth) of each kind of request."""
+    keys = ("name", "n", "in_aim", "late", "refused", "failed", "not_owed", "worth")
+    return [tuple(one[key] for key in keys) for one in report["classes"]]
+
+
+def price_rows(report):
+    """Returns (name, amount, share of the credit) of the prices worth a line, the dearest first."""
+    rows = [tuple(price[:3]) for price in report["prices"] if price[2] >= LEAST_PRICE]
+    return sorted(rows, key=lambda row: -row[2])
+
+
+def print_day(name, report, out=sys.stdout):
+    print(f"{name}: worth {report['G']:.3f}", file=out)
+    print(f"  {'kind of request':<20}{'asked':>8}{'in time':>9}{'late':>7}{'refused':>9}{'failed':>8}"
+          f"{'not owed':>10}{'worth':>7}", file=out)
+    for kind, asked, in_time, late, refused, failed, not_owed, worth in class_rows(report):
+        print(f"  {kind:<20}{asked:>8}{in_time:>9}{late:>7}{refused:>9}{failed:>8}{not_owed:>10}{worth:>7.3f}", file=out)
+    for what, amount, share in price_rows(report):
+        print(f"  -{share:.4f}  {amount:g} {what}", file=out)
+
+
+def svg_of(name, report):
+    """Returns a picture of the requests of each window by outcome."""
+    windows = report["windows"]
+    most = max((window["n"] for window in windows), default=0) or 1
+    step = (WIDTH - 2 * MARGIN) / max(len(windows), 1)
+    scale = (HEIGHT - 2 * MARGIN) / most
+    parts = [f'<svg xmlns="http://www.w3.org/2000/svg" width="{WIDTH}" height="{HEIGHT}" font-family="sans-serif" font-size="11">',
+             f'<text x="{MARGIN}" y="14">{name}: requests of each window by outcome, at most {most}</text>']
+    for index, window in enumerate(windows):
+        base = HEIGHT - MARGIN
+        for outcome, colour in OUTCOMES:
+            height = window[outcome] * scale
+            base -= height
+            parts.append(f'<rect x="{MARGIN + index * step:.1f}" y="{base:.1f}" width="{step * 0.9:.1f}" '
+                         f'height="{height:.1f}" fill="{colour}"/>')
+        parts.append(f'<text x="{MARGIN + index * step:.1f}" y="{HEIGHT - MARGIN + 14}">{window["name"]}</text>')
+    for index, (outcome, colour) in enumerate(OUTCOMES):
+        parts.append(f'<text x="{MARGIN + 90 * index}" y="{HEIGHT - 6}" fill="{colour}">{outcome}</text>')
+    return "\n".join(parts + ["</svg>\n"])
+
+
+def play(bench, site, day, folder):
+    """Plays a day and returns the path of its report."""
+    report = pathlib.Path(folder) / f"{pathlib.Path(day).stem}.json"
+    run = subprocess.run([bench, "run", site, day, "--report", str(report)], capture_output=True, text=True,
+                         timeout=DAY_TIMEOUT_S, check=False)
+    if run.returncode != 0 or not report.exists():
+        raise ValueError(f"{day}: the bench ended with {run.returncode}: {(run.stderr or run.stdout).strip()[-500:]}")
+    return report
+
+
+def main(argv):
+    parser = argparse.ArgumentParser(prog="scripts/days", description="Prints where the credit of played days goes.")
+    parser.add_argument("--bench", help="path of the bench; days are played with it")
+    parser.add_argument("--site", help="file of the deployment")
+    parser.add_argument("--plot", metavar="DIR", help="writes a picture of each day into the folder")
+    parser.add_argument("day", nargs="+", help="names of days or, without --bench, reports")
+    options = parser.parse_args(argv)
+    if bool(options.bench) != bool(options.site):
+        parser.error("--bench and --site belong together")
+    with tempfile.TemporaryDirectory() as folder:
+        for day in options.day:
+            try:
+                path = play(options.bench, options.site, day, folder) if options.bench else day
+                report = read_report(path)
+            except (ValueError, OSError, subprocess.TimeoutExpired) as error:
+                print(f"days: {error}", file=sys.stderr)
+                return 1
+            name = pathlib.Path(day).stem
+            print_day(name, report)
+            if options.plot:
+                target = pathlib.Path(options.plot)
+                target.mkdir(parents=True, exist_ok=True)
+                (target / f"{name}.svg").write_text(svg_of(name, report), encoding="utf-8")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/process/days_test.py
@@ -0,0 +1,68 @@
+#!/usr/bin/env python3
+"""Tests of scripts/days on reports written here."""
+
+import io
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import unittest
+import xml.dom.minidom
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "scripts" / "lib"))
+
+import days  # noqa: E402
+
+REPORT = {
+    "G": 0.5,
+    "classes": [{"name": "reads", "n": 10, "in_aim": 6, "late": 1, "refused": 2, "failed": 1, "not_owed": 0, "worth": 0.61}],
+    "windows": [{"name": "0", "n": 4, "in_aim": 4, "late": 0, "refused": 0, "failed": 0},
+                {"name": "2", "n": 6, "in_aim": 2, "late": 1, "refused": 2, "failed": 1}],
+    "prices": [["probes", 0.0, 0.0], ["memory", 2.0, 0.01], ["processor seconds", 8.0, 0.03]],
+}
+
+
+class Days(unittest.TestCase):
+    def run_script(self, *arguments):
+        return subprocess.run([ROOT / "scripts" / "days", *arguments], capture_output=True, text=True, timeout=30,
+                              check=False)
+
+    def test_day_is_printed_by_kind_with_the_dearest_price_first(self):
+        out = io.StringIO()
+        days.print_day("quiet", REPORT, out)
+        lines = out.getvalue().splitlines()
+        self.assertEqual(lines[0], "quiet: worth 0.500")
+        self.assertEqual(lines[2].split(), ["reads", "10", "6", "1", "2", "1", "0", "0.610"])
+        self.assertIn("processor seconds", lines[3])
+        self.assertIn("memory", lines[4])
+        self.assertEqual(len(lines), 5)
+
+    def test_plot_is_written_with_a_bar_for_each_outcome(self):
+        with tempfile.TemporaryDirectory() as folder:
+            report = pathlib.Path(folder) / "quiet.json"
+            report.write_text(json.dumps(REPORT), encoding="utf-8")
+            run = self.run_script("--plot", folder, report)
+            self.assertEqual(run.returncode, 0, run.stderr)
+            picture = xml.dom.minidom.parse(str(pathlib.Path(folder) / "quiet.svg"))
+            self.assertEqual(len(picture.getElementsByTagName("rect")), 2 * len(days.OUTCOMES))
+
+    def test_rubbish_is_named_with_its_file(self):
+        with tempfile.TemporaryDirectory() as folder:
+            for content in ("{", "{}", "\x00"):
+                report = pathlib.Path(folder) / "rubbish.json"
+                report.write_text(content, encoding="utf-8")
+                run = self.run_script(report)
+                self.assertEqual(run.returncode, 1)
+                self.assertIn("rubbish.json", run.stderr)
+                self.assertNotIn("Traceback", run.stderr)
+
+    def test_bench_that_fails_is_told_with_its_day(self):
+        run = self.run_script("--bench", "/bin/false", "--site", "site.toml", "quiet-1")
+        self.assertEqual(run.returncode, 1)
+        self.assertIn("quiet-1", run.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main()
