Send all known nodes only to a node that asks for them

Ruled out: configurations and loads, which the counts per kind of frame put far below the first frames (docs/CAPACITY.md). Now a node asks for the known nodes on a link, again after 0.5 s if nobody has answered and after 5 s otherwise.

--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -27,6 +27,10 @@
 constexpr microseconds suspect_after{700'000};
 /*! @brief Unanswered time after which a link is closed. */
 constexpr microseconds dead_after{1'500'000};
+/*! @brief Time after which another node is asked for all known nodes, if the first has not answered. */
+constexpr microseconds ask_interval{500'000};
+/*! @brief Time for which known nodes are not asked for again; the store tells changes sooner. */
+constexpr microseconds known_interval{5'000'000};
 /*! @brief Time for which a node may lag behind before it is handed the configuration. The store tells most
  *         nodes within it. */
 constexpr microseconds push_delay{200'000};
@@ -107,24 +111,42 @@
         [this](const peer_link::pointer& from, const std::string& cause) { this->on_lost(from, cause); });
     hop::Frame frame{};
     encode(this->self(), *frame.mutable_hello()->mutable_self());
-    for (const auto& [node, known] : this->table.all()) {
-        encode(known.record, *frame.mutable_hello()->add_known());
+    const auto now = boot_now();
+    if (this->next_ask <= now) {
+        this->next_ask = now + ask_interval;
+        frame.mutable_hello()->set_asks_for_known(true);
     }
     link->send(frame);
 }
 
+void peers::on_hello(const peer_link::pointer& link, const hop::Hello& hello)
+{
+    this->on_record(link, hello.self());
+    if (hello.known_size() > 0) {
+        this->next_ask = boot_now() + known_interval;
+    }
+    for (const auto& message : hello.known()) {
+        const auto record = decode(message);
+        if (record && record->node != this->self().node &&
+            this->table.learn(*record, member_table::origin::hearsay, boot_now())) {
+            this->diallers[record->node].next_try = {};
+        }
+    }
+    if (hello.asks_for_known() && link->is_open()) {
+        hop::Frame frame{};
+        encode(this->self(), *frame.mutable_hello()->mutable_self());
+        for (const auto& [node, known] : this->table.all()) {
+            encode(known.record, *frame.mutable_hello()->add_known());
+        }
+        link->send(frame);
+    }
+}
+
 void peers::on_frame(const peer_link::pointer& link, hop::Frame& frame, microseconds held_up)
 {
     switch (frame.kind_case()) {
     case hop::Frame::kHello:
-        this->on_record(link, frame.hello().self());
-        for (const auto& message : frame.hello().known()) {
-            const auto record = decode(message);
-            if (record && record->node != this->self().node &&
-                this->table.learn(*record, member_table::origin::hearsay, boot_now())) {
-                this->diallers[record->node].next_try = {};
-            }
-        }
+        this->on_hello(link, frame.hello());
         break;
     case hop::Frame::kState:
         this->on_record(link, frame.state());
--- a/src/gateway/peers.hpp
+++ b/src/gateway/peers.hpp
@@ -120,6 +120,7 @@
     void dial(const std::string& node, dialler& to);
     void on_link(const peer_link::pointer& link);
     void on_frame(const peer_link::pointer& link, hop::Frame& frame, microseconds held_up);
+    void on_hello(const peer_link::pointer& link, const hop::Hello& hello);
     void on_record(const peer_link::pointer& link, const hop::Member& message);
     void on_run(const peer_link::pointer& link, hop::Run& message, microseconds held_up);
     void on_answer(const peer_link::pointer& link, hop::Answer& message);
@@ -141,6 +142,8 @@
     mesh_config_ptr config{};
     std::uint64_t last_id{};
     timestamp next_advisories{};
+    /*! @brief Time from which a new link may be asked for all known nodes. */
+    timestamp next_ask{};
     bool serving{true};
 };
 
--- a/tests/gateway/peers.cpp
+++ b/tests/gateway/peers.cpp
@@ -1,5 +1,6 @@
 #include <gateway/peers.hpp>
 
+#include <array>
 #include <functional>
 #include <vector>
 
@@ -93,6 +94,51 @@
     EXPECT_EQ(*find_field(this->target.seen.front()->request.fields, "X-Id"), "r2");
 }
 
+TEST_F(node_with_raw_peer, known_nodes_are_sent_only_when_asked_for)
+{
+    const auto receive = [this] {
+        std::array<char, 65'536> chunk{};
+        std::string bytes{chunk.data(), this->raw.read_some(boost::asio::buffer(chunk))};
+        std::size_t offset{};
+        hop::Frame frame{};
+        EXPECT_EQ(read_frame(bytes, offset, frame), frame_status::complete);
+        return frame.hello();
+    };
+    const auto arrived = [this] { return this->raw.available() > 0; };
+    member_record third{};
+    third.node = "third";
+    third.ip = "127.0.0.1";
+    third.port = 9;
+    this->links.on_member(third);
+    EXPECT_TRUE(this->world.run_until(arrived));
+    const auto first = receive();
+    EXPECT_EQ(first.known_size(), 0);
+    EXPECT_TRUE(first.asks_for_known());
+
+    this->send(hello(), milliseconds{0});
+    this->world.run_for(milliseconds{50});
+    EXPECT_FALSE(arrived());
+    auto asking = hello();
+    asking.mutable_hello()->set_asks_for_known(true);
+    this->send(asking, milliseconds{0});
+    EXPECT_TRUE(this->world.run_until(arrived));
+    EXPECT_GE(receive().known_size(), 1);
+}
+
+TEST_F(node_with_raw_peer, known_nodes_are_asked_for_once_in_a_while)
+{
+    boost::asio::ip::tcp::socket second{this->world.loop.context()};
+    this->world.run_for(milliseconds{50});
+    second.connect(this->raw.remote_endpoint());
+    EXPECT_TRUE(this->world.run_until([&] { return second.available() > 0; }));
+    std::array<char, 65'536> chunk{};
+    const std::string bytes{chunk.data(), second.read_some(boost::asio::buffer(chunk))};
+    std::size_t offset{};
+    hop::Frame frame{};
+    EXPECT_EQ(read_frame(bytes, offset, frame), frame_status::complete);
+    EXPECT_FALSE(frame.hello().asks_for_known());
+}
+
 TEST_F(node_with_raw_peer, address_that_belongs_to_another_node_now_is_dialled_once)
 {
     boost::asio::ip::tcp::acceptor acceptor{this->world.loop.context(),
