--- a/scripts/lib/days.py
+++ b/scripts/lib/days.py
@@ -94,11 +94,14 @@
             try:
                 path = play(options.bench, options.site, day, folder) if options.bench else day
                 report = read_report(path)
+                name = pathlib.Path(day).stem
+                print_day(name, report)
             except (ValueError, OSError, subprocess.TimeoutExpired) as error:
                 print(f"days: {error}", file=sys.stderr)
                 return 1
-            name = pathlib.Path(day).stem
-            print_day(name, report)
+            except (KeyError, TypeError) as error:
+                print(f"days: {day}: a report of another form: {error!r}", file=sys.stderr)
+                return 1
             if options.plot:
                 target = pathlib.Path(options.plot)
                 target.mkdir(parents=True, exist_ok=True)
--- a/tests/process/days_test.py
+++ b/tests/process/days_test.py
@@ -50,7 +50,7 @@
 
     def test_rubbish_is_named_with_its_file(self):
         with tempfile.TemporaryDirectory() as folder:
-            for content in ("{", "{}", "\x00"):
+            for content in ("{", "{}", "\x00", "[1]", '{"G": 1, "classes": [{}], "windows": [], "prices": []}'):
                 report = pathlib.Path(folder) / "rubbish.json"
                 report.write_text(content, encoding="utf-8")
                 run = self.run_script(report)
