--- a/src/telemetry/trace.cpp
+++ b/src/telemetry/trace.cpp
@@ -74,6 +74,7 @@
     return opentracing::Value::visit(value, json_value{});
 }
 
+// The names of the OpenTracing API are not ours.
 // NOLINTBEGIN(readability-identifier-naming)
 class ring_span final : public opentracing::Span {
 public:
@@ -226,6 +227,7 @@
     return child;
 }
 
+// The names of the OpenTracing API are not ours.
 // NOLINTBEGIN(readability-identifier-naming)
 void span_context::ForeachBaggageItem(
     std::function<bool(const std::string& key, const std::string& value)> /*visit*/) const
@@ -296,6 +298,7 @@
     this->spans.push_back(std::move(span));
 }
 
+// The names of the OpenTracing API are not ours.
 // NOLINTBEGIN(readability-identifier-naming)
 std::unique_ptr<opentracing::Span>
 ring_tracer::StartSpanWithOptions(opentracing::string_view operation,
