--- a/tests/process/gateway_standins.py
+++ b/tests/process/gateway_standins.py
@@ -222,3 +222,104 @@
         self.is_running = False
         self.server.shutdown()
         self.server.server_close()
+
+
+def encode_varint(number):
+    encoded = bytearray()
+    while number > 0x7f:
+        encoded.append(number & 0x7f | 0x80)
+        number >>= 7
+    return bytes(encoded + bytes([number]))
+
+
+def encode_message(fields):
+    """Encodes a protobuf message of (number, value) pairs; a value is an integer, or bytes."""
+    encoded = b""
+    for number, value in fields:
+        if isinstance(value, bytes):
+            encoded += encode_varint(number << 3 | 2) + encode_varint(len(value)) + value
+        else:
+            encoded += encode_varint(number << 3) + encode_varint(value)
+    return encoded
+
+
+def decode_bytes_fields(message):
+    """Returns the fields of a protobuf message that contain bytes or a message, as (number, value) pairs."""
+    fields = []
+    position = 0
+
+    def read_varint():
+        nonlocal position
+        number = shift = 0
+        while True:
+            byte = message[position]
+            position += 1
+            number |= (byte & 0x7f) << shift
+            shift += 7
+            if byte < 0x80:
+                return number
+
+    while position < len(message):
+        tag = read_varint()
+        if tag & 7 == 0:
+            read_varint()
+        elif tag & 7 == 2:
+            size = read_varint()
+            fields.append((tag >> 3, message[position:position + size]))
+            position += size
+        else:
+            position += 8 if tag & 7 == 1 else 4
+    return fields
+
+
+class FakePeer:
+    """A node that links to another one and answers its pings, but sends no configuration.
+
+    The numbers of the fields are those of `proto/hop.proto`.
+    """
+
+    HELLO, PING, PONG = 1, 7, 8
+
+    def __init__(self, name, ip, config_version, node_address):
+        self.sockets = [socket.create_server((ip, 0))]
+        member = encode_message([
+            (1, name.encode()), (2, b"a"), (3, ip.encode()), (4, self.sockets[0].getsockname()[1]),
+            (5, int(time.time() * 1000)), (6, 1), (12, config_version)])
+        self.hello = encode_message([(self.HELLO, encode_message([(1, member)]))])
+        threading.Thread(target=self.accept, daemon=True).start()
+        host, port = node_address.split(":")
+        self.serve(socket.create_connection((host, int(port))))
+
+    def accept(self):
+        try:
+            while True:
+                self.serve(self.sockets[0].accept()[0])
+        except OSError:
+            pass  # The listening socket was closed.
+
+    def serve(self, connection):
+        self.sockets.append(connection)
+        self.send(connection, self.hello)
+        threading.Thread(target=self.answer_pings, args=(connection,), daemon=True).start()
+
+    @staticmethod
+    def send(connection, frame):
+        connection.sendall(struct.pack(">I", len(frame)) + frame)
+
+    def answer_pings(self, connection):
+        try:
+            with connection.makefile("rb") as stream:
+                while prefix := stream.read(4):
+                    for number, value in decode_bytes_fields(stream.read(struct.unpack(">I", prefix)[0])):
+                        if number == self.PING:
+                            self.send(connection, encode_message([(self.PONG, value)]))
+        except OSError:
+            pass  # The connection was closed.
+
+    def close(self):
+        for each in self.sockets:
+            try:
+                each.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # Already disconnected.
+            each.close()
--- a/tests/process/gateway_test.py
+++ b/tests/process/gateway_test.py
@@ -15,7 +15,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
-from gateway_standins import Store, Target  # noqa: E402
+from gateway_standins import FakePeer, Store, Target  # noqa: E402
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 BINARY = pathlib.Path(os.environ.get("BUILD_DIR", ROOT / "build")) / "bin" / "kumquatdrift-gateway"
@@ -319,6 +319,25 @@
         self.assertEqual(self.nodes[0].call()[0], 200)
 
 
+class GatewayLaggingConfiguration(GatewayTest):
+    def connect_peer(self, name, number, config_version):
+        """Links a peer to the first node and waits until that node has received its record."""
+        peer = FakePeer(name, "127.0.0.%d" % number, config_version, self.nodes[0].settings["listen"]["peers"])
+        self.addCleanup(peer.close)
+        wait_until(lambda: "event=node_reachable node=%s " % name in self.nodes[0].log(), name + " is reachable")
+
+    def test_unknown_route_gets_503_while_a_newer_version_is_known(self):
+        # All nodes connect to the store from 127.0.0.1, so it rejects all of them.
+        self.store.rejected_ips.add("127.0.0.1")
+        self.connect_peer("same-version", 30, 5)
+        self.assertEqual(self.nodes[0].call(path="/new/x")[0], 404)
+        self.connect_peer("newer-version", 31, 6)
+        status, _, fields = self.nodes[0].call(path="/new/x")
+        self.assertEqual(status, 503)
+        self.assertGreater(float(fields["Retry-After"]), 0)
+        self.assertEqual(self.nodes[0].call(path="/read/x")[0], 200)
+
+
 class GatewayProcess(GatewayTest):
     def test_stop_under_load_aborts_no_request(self):
         for target in self.targets:
