Count the frames between nodes, and log what waits on a link

With 74 nodes, a document of 250 KB and links of 6 Mbit/s, nodes are taken to be unreachable although they run. Neither the log nor the metrics tell why: configurations pushed by peers, reads of the store, pings and pongs queued behind long frames, or a busy processor.

- gateway_link_bytes_total and gateway_link_frames_total, by kind of frame and direction.
The kinds come from the fields of hop.Frame, so a new kind is counted without further change; counters are looked up once per process.
- gateway_ping_seconds: time from a ping to its pong.
- node_unreachable and node_reachable have unsent (bytes that wait for the socket), unacknowledged (bytes in the socket that the other host has not acknowledged; the kernel accepts megabytes, so unsent alone may be 0 while a ping waits) and ping_age_ms.

The line for a closed link is now written before the link is removed from the list, to have its figures. If the gateway closed the link itself, unacknowledged is 0, because the socket is gone by then. No other behaviour changes. Reads of the store are not counted here, because the platform adapter has no metrics.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -68,7 +68,7 @@
                        this->settings.node,
                        this->settings.report_interval,
                        [this] { this->broadcast_state(); }},
-          peer_nodes{{this->loop, this->log, this->local_target, this->quarantine, this->rng},
+          peer_nodes{{this->loop, this->log, this->local_target, this->quarantine, this->rng, this->metrics},
                      [this] { return this->make_record(); },
                      [this](std::uint32_t version, const std::string& document) {
                          this->on_peer_config(version, document);
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -9,8 +9,8 @@
 
 namespace kumquatdrift {
 
-peer_link::peer_link(event_loop& owner, socket_stream::pointer stream)
-    : last_received_at{boot_now()}, loop{owner}, connection{std::move(stream)}
+peer_link::peer_link(event_loop& owner, socket_stream::pointer stream, const link_metrics& shared_metrics)
+    : last_received_at{boot_now()}, loop{owner}, connection{std::move(stream)}, metrics{shared_metrics}
 {
     this->connection->set_read_limit(max_frame_bytes + socket_stream::default_read_limit);
 }
@@ -30,7 +30,9 @@
 void peer_link::send(hop::Frame& frame)
 {
     frame.set_sent_us(static_cast<std::uint64_t>(boot_now().time_since_epoch().count()));
+    const auto size_before = this->output.size();
     append_frame(frame, this->output);
+    count_frame(this->metrics.sent, frame.kind_case(), this->output.size() - size_before);
     if (!this->flush_scheduled) {
         this->flush_scheduled = true;
         this->loop.defer([self = shared_from_this()] { self->flush(); });
@@ -69,7 +71,9 @@
     std::vector<hop::Frame> frames(1);
     std::unordered_set<std::uint64_t> cancelled_ids{};
     auto status = frame_status::need_more;
-    while ((status = read_frame(buffer, offset, frames.back())) == frame_status::complete) {
+    for (auto start = offset; (status = read_frame(buffer, offset, frames.back())) == frame_status::complete;
+         start = offset) {
+        count_frame(this->metrics.received, frames.back().kind_case(), offset - start);
         if (frames.back().has_cancel()) {
             cancelled_ids.insert(frames.back().cancel().id());
         }
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -10,6 +10,7 @@
 
 #include <hop.pb.h>
 
+#include "link_metrics.hpp"
 #include "run.hpp"
 #include "socket_stream.hpp"
 
@@ -40,8 +41,9 @@
      * @brief Constructs a link on a connected stream.
      * @param loop Event loop.
      * @param stream Connected stream.
+     * @param metrics Metrics; must outlive the link.
      */
-    peer_link(event_loop& loop, socket_stream::pointer stream);
+    peer_link(event_loop& loop, socket_stream::pointer stream, const link_metrics& metrics);
 
     /**
      * @brief Starts reading frames.
@@ -65,10 +67,23 @@
         return this->connection->is_open();
     }
 
+    /*! @brief Returns the number of queued bytes that the socket has not accepted. */
+    [[nodiscard]] std::size_t unsent() const noexcept
+    {
+        return this->connection->unsent() + this->output.size();
+    }
+
+    /*! @brief Returns the number of bytes that the socket has accepted and the other node's host has not
+     *         acknowledged. */
+    [[nodiscard]] std::size_t unacknowledged() const
+    {
+        return this->connection->unacknowledged();
+    }
+
     /*! @brief Checks whether too many bytes are queued because the other node reads slowly. */
     [[nodiscard]] bool is_congested() const noexcept
     {
-        return this->connection->unsent() + this->output.size() > congestion_threshold;
+        return this->unsent() > congestion_threshold;
     }
 
     /*! @brief Name of the other node; empty on an inbound link until its first frame arrives. */
@@ -91,6 +106,7 @@
 
     event_loop& loop;
     socket_stream::pointer connection;
+    const link_metrics& metrics;
     std::string output{};
     bool flush_scheduled{};
     std::optional<microseconds> min_delay{};
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -47,7 +47,8 @@
 peers::peers(const dependencies& common, std::function<member_record()> own,
              std::function<void(std::uint32_t, const std::string&)> newer_config)
     : shared{common}, self{std::move(own)}, on_config{std::move(newer_config)},
-      listener{common.loop, [this](const socket_stream::pointer& connection) { this->accept(connection); }}
+      listener{common.loop, [this](const socket_stream::pointer& connection) { this->accept(connection); }},
+      metrics{make_link_metrics(common.metrics)}
 {
     this->shared.loop.on_tick([this](timestamp now) { this->on_tick(now); });
     this->listener.on_error([this](const std::string& cause) {
@@ -63,7 +64,7 @@
 
 void peers::accept(const socket_stream::pointer& connection)
 {
-    auto link = std::make_shared<peer_link>(this->shared.loop, connection);
+    auto link = std::make_shared<peer_link>(this->shared.loop, connection, this->metrics);
     this->inbound_links.insert(link);
     this->start_link(link);
 }
@@ -98,7 +99,8 @@
             }
             dialled.failures = 0;
             dialled.pushed_version = 0;
-            dialled.link = std::make_shared<peer_link>(this->shared.loop, std::move(connection));
+            dialled.link =
+                std::make_shared<peer_link>(this->shared.loop, std::move(connection), this->metrics);
             dialled.link->outbound = true;
             dialled.link->node = node;
             this->start_link(dialled.link);
@@ -178,7 +180,9 @@
         break;
     }
     case hop::Frame::kPong:
-        link->ping_sent_at = {};
+        if (const auto sent = std::exchange(link->ping_sent_at, {}); sent != timestamp{}) {
+            this->metrics.ping_seconds->observe(std::chrono::duration<double>{boot_now() - sent}.count());
+        }
         this->table.update_load(link->node, decode(frame.pong().load()), boot_now());
         break;
     case hop::Frame::kAdvisory:
@@ -282,12 +286,12 @@
     }
     this->inbound_links.erase(link);
     if (link->outbound) {
+        this->set_reachable(link->node, false, cause);
         if (const auto found = this->outbound_links.find(link->node);
             found != this->outbound_links.end() && found->second.link == link) {
             // `next_dial` stays, so the next attempt starts a dial interval after this one at the earliest.
             found->second.link = nullptr;
         }
-        this->set_reachable(link->node, false, cause);
         if (auto* known = this->table.find(link->node)) {
             known->in_flight -=
                 std::min(known->in_flight, static_cast<std::uint32_t>(link->outbound_requests.size()));
@@ -364,9 +368,15 @@
     auto* known = this->table.find(node);
     if (known != nullptr && known->reachable != reachable) {
         known->reachable = reachable;
-        this->shared.log.write(log_level::info, event_class::state, "peers",
-                               reachable ? "node_reachable" : "node_unreachable",
-                               "node={} cause={} in_flight={}", node, log_value(cause), known->in_flight);
+        const auto found = this->outbound_links.find(node);
+        const auto link = found != this->outbound_links.end() ? found->second.link : nullptr;
+        const auto ping_age =
+            link && link->ping_sent_at != timestamp{} ? boot_now() - link->ping_sent_at : microseconds{0};
+        this->shared.log.write(
+            log_level::info, event_class::state, "peers", reachable ? "node_reachable" : "node_unreachable",
+            "node={} cause={} in_flight={} unsent={} unacknowledged={} ping_age_ms={}", node,
+            log_value(cause), known->in_flight, link ? link->unsent() : 0, link ? link->unacknowledged() : 0,
+            std::chrono::duration_cast<milliseconds>(ping_age).count());
     }
 }
 
--- a/src/gateway/peers.hpp
+++ b/src/gateway/peers.hpp
@@ -41,6 +41,8 @@
         crash_quarantine& quarantine;
         /*! @brief Random engine, for jitter. */
         random_engine& rng;
+        /*! @brief Registry of metrics. */
+        metrics_registry& metrics;
     };
 
     /**
@@ -140,6 +142,7 @@
     std::function<member_record()> self;
     std::function<void(std::uint32_t, const std::string&)> on_config;
     tcp_listener listener;
+    link_metrics metrics;
     member_table table{};
     std::map<std::string, outbound_link, std::less<>> outbound_links{};
     std::unordered_set<peer_link::pointer> inbound_links{};
--- a/src/gateway/socket_stream.cpp
+++ b/src/gateway/socket_stream.cpp
@@ -4,7 +4,9 @@
 #include <charconv>
 #include <utility>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/buffer.hpp>
@@ -204,6 +206,13 @@
     }
 }
 
+std::size_t socket_stream::unacknowledged()
+{
+    int bytes{};
+    const auto known = this->open && ::ioctl(this->socket.native_handle(), SIOCOUTQ, &bytes) == 0;
+    return known ? static_cast<std::size_t>(bytes) : 0;
+}
+
 void socket_stream::start_write()
 {
     if (this->writing || !this->open) {
--- a/src/gateway/socket_stream.hpp
+++ b/src/gateway/socket_stream.hpp
@@ -95,6 +95,10 @@
         return this->output.size();
     }
 
+    /*! @brief Returns the number of bytes that the socket has accepted and the peer's host has not
+     *         acknowledged; 0 if the connection is closed. */
+    [[nodiscard]] std::size_t unacknowledged();
+
     /*! @brief Checks whether the connection is open. */
     [[nodiscard]] bool is_open() const noexcept
     {
--- a/tests/gateway/peer_link.cpp
+++ b/tests/gateway/peer_link.cpp
@@ -33,8 +33,8 @@
         boost::asio::ip::tcp::socket accepted{this->world.loop.context()};
         this->raw.connect(acceptor.local_endpoint());
         acceptor.accept(accepted);
-        this->link = std::make_shared<peer_link>(this->world.loop,
-                                                 socket_stream::adopt(this->world.loop, std::move(accepted)));
+        this->link = std::make_shared<peer_link>(
+            this->world.loop, socket_stream::adopt(this->world.loop, std::move(accepted)), this->metrics);
         this->link->start(
             [this](const peer_link::pointer&, hop::Frame& frame, microseconds queueing_delay) {
                 this->frames.push_back(frame);
@@ -54,6 +54,7 @@
     }
 
     gateway_world world{};
+    link_metrics metrics{make_link_metrics(this->world.metrics)};
     boost::asio::ip::tcp::socket raw{this->world.loop.context()};
     peer_link::pointer link{};
     std::vector<hop::Frame> frames{};
@@ -117,5 +118,42 @@
     EXPECT_GE(this->delays.back(), milliseconds{100});
 }
 
+TEST_F(link_to_raw_peer, frames_are_counted_by_kind_and_direction)
+{
+    const auto value = [this](const std::string& name, const std::string& kind,
+                              const std::string& direction) {
+        return this->world.metrics
+            .counter_of("gateway_link_" + name + "_total", "", {{"direction", direction}, {"kind", kind}})
+            .value();
+    };
+    auto large = run_frame(1);
+    large.mutable_run()->set_body(std::string(100'000, 'b'));
+    auto cancel = cancel_frame(1);
+    std::string large_bytes{};
+    this->link->send(large);
+    append_frame(large, large_bytes);
+    std::string cancel_bytes{};
+    this->link->send(cancel);
+    this->link->send(cancel);
+    append_frame(cancel, cancel_bytes);
+    EXPECT_EQ(value("frames", "run", "sent"), 1U);
+    EXPECT_EQ(value("bytes", "run", "sent"), large_bytes.size());
+    EXPECT_EQ(value("frames", "cancel", "sent"), 2U);
+    EXPECT_EQ(value("bytes", "cancel", "sent"), 2 * cancel_bytes.size());
+
+    hop::Frame without_kind{};
+    without_kind.set_sent_us(1);
+    std::string unknown_bytes{};
+    append_frame(without_kind, unknown_bytes);
+    this->write(large_bytes + unknown_bytes + cancel_bytes);
+    EXPECT_TRUE(this->world.run_until([&] { return value("frames", "cancel", "received") == 1; }));
+    EXPECT_EQ(value("frames", "run", "received"), 1U);
+    EXPECT_EQ(value("bytes", "run", "received"), large_bytes.size());
+    EXPECT_EQ(value("bytes", "cancel", "received"), cancel_bytes.size());
+    EXPECT_EQ(value("frames", "unknown", "received"), 1U);
+    EXPECT_EQ(value("bytes", "unknown", "received"), unknown_bytes.size());
+    EXPECT_EQ(value("frames", "pong", "sent"), 0U);
+}
+
 } // namespace
 } // namespace kumquatdrift
--- a/tests/gateway/peers.cpp
+++ b/tests/gateway/peers.cpp
@@ -1,9 +1,15 @@
 #include <gateway/peers.hpp>
 
+#include <algorithm>
 #include <array>
+#include <cstdio>
 #include <functional>
+#include <memory>
+#include <regex>
 #include <vector>
 
+#include <unistd.h>
+
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
@@ -63,7 +69,8 @@
                      std::chrono::seconds{60},
                      [] {}};
     random_engine rng{1};
-    peers links{{this->world.loop, this->world.log, this->host, this->world.quarantine, this->rng},
+    peers links{{this->world.loop, this->world.log, this->host, this->world.quarantine, this->rng,
+                 this->world.metrics},
                 [] {
                     member_record own{};
                     own.node = "node";
@@ -198,5 +205,87 @@
     EXPECT_LE(dialled, 5U);
 }
 
+TEST_F(node_with_raw_peer, log_line_of_an_unreachable_node_has_unsent_bytes_and_age_of_the_ping)
+{
+    boost::asio::ip::tcp::acceptor acceptor{this->world.loop.context(),
+                                            {boost::asio::ip::make_address_v4("127.0.0.1"), 0}};
+    boost::asio::ip::tcp::socket accepted{this->world.loop.context()};
+    bool connected{};
+    acceptor.async_accept(accepted, [&](const boost::system::error_code& error) { connected = !error; });
+    const std::unique_ptr<std::FILE, int (*)(std::FILE*)> file{std::tmpfile(), std::fclose};
+    event_log log{::dup(::fileno(file.get())), log_level::info};
+    peers logging_links{
+        {this->world.loop, log, this->host, this->world.quarantine, this->rng, this->world.metrics},
+        [] {
+            member_record own{};
+            own.node = "node";
+            own.ip = "127.0.0.1";
+            own.port = 8;
+            return own;
+        },
+        [](std::uint32_t, const std::string&) {}};
+    member_record other{};
+    other.node = "other";
+    other.ip = "127.0.0.1";
+    other.port = acceptor.local_endpoint().port();
+    logging_links.on_member(other);
+    ASSERT_TRUE(this->world.run_until([&] { return connected; }));
+    std::string bytes{};
+    append_frame(hello(), bytes);
+    boost::asio::write(accepted, boost::asio::buffer(bytes));
+    ASSERT_TRUE(this->world.run_until([&] { return logging_links.members().find("other")->reachable; }));
+    auto large = std::make_shared<target_request>(*make_target_request("large"));
+    large->body = std::string(30'000'000, 'b');
+    EXPECT_NE(logging_links.run("other", large, [](const attempt_result&) {}), 0U);
+    EXPECT_TRUE(this->world.run_until([&] { return !logging_links.members().find("other")->reachable; }));
+    log.flush();
+    std::string text(4'096, '\0');
+    text.resize(static_cast<std::size_t>(
+        std::max<ssize_t>(::pread(::fileno(file.get()), text.data(), text.size(), 0), 0)));
+    const std::regex line{"node_unreachable .*node=other cause=\\S.* in_flight=1 unsent=[1-9]\\d{6,} "
+                          "unacknowledged=[1-9]\\d* ping_age_ms=([7-9]\\d\\d|\\d{4,})"};
+    EXPECT_TRUE(std::regex_search(text, line)) << text;
+}
+
+TEST_F(node_with_raw_peer, time_from_ping_to_pong_is_measured)
+{
+    boost::asio::ip::tcp::acceptor acceptor{this->world.loop.context(),
+                                            {boost::asio::ip::make_address_v4("127.0.0.1"), 0}};
+    boost::asio::ip::tcp::socket accepted{this->world.loop.context()};
+    bool connected{};
+    acceptor.async_accept(accepted, [&](const boost::system::error_code& error) { connected = !error; });
+    member_record other{};
+    other.node = "other";
+    other.ip = "127.0.0.1";
+    other.port = acceptor.local_endpoint().port();
+    this->links.on_member(other);
+    ASSERT_TRUE(this->world.run_until([&] { return connected; }));
+    const auto write = [&](const hop::Frame& frame) {
+        std::string bytes{};
+        append_frame(frame, bytes);
+        boost::asio::write(accepted, boost::asio::buffer(bytes));
+    };
+    write(hello());
+    std::string input{};
+    std::size_t offset{};
+    hop::Frame received{};
+    ASSERT_TRUE(this->world.run_until([&] {
+        if (accepted.available() > 0) {
+            std::array<char, 65'536> chunk{};
+            input.append(chunk.data(), accepted.read_some(boost::asio::buffer(chunk)));
+        }
+        while (!received.has_ping() && read_frame(input, offset, received) == frame_status::complete) {}
+        return received.has_ping();
+    }));
+    this->world.run_for(milliseconds{100});
+    hop::Frame pong{};
+    pong.mutable_pong()->set_number(received.ping().number());
+    write(pong);
+    const auto& measured = this->world.metrics.histogram_of("gateway_ping_seconds", "");
+    EXPECT_TRUE(this->world.run_until([&] { return measured.sum() > 0; }));
+    EXPECT_EQ(measured.buckets().back().second, 1U);
+    EXPECT_GE(measured.sum(), 0.1);
+}
+
 } // namespace
 } // namespace kumquatdrift
