Let a node that lags ask one node at a time for what has changed

Cause: each node that ran a newer version pushed the whole document (247 KB) to each node that it took for lagging, at once to a node without a configuration, and again on each new link. The bytes grew with the square of the number of nodes times the number of routes. Links of thin nodes filled, pongs came late, links were closed and opened again, and the pushes with them.

Ruled out: the store. The processor: thin nodes used 1 % of a core in the median, 7 % at most.

Change: a node learns the versions of others from their records, pings and pongs, and asks one node for a newer one; the next only after that one has responded or after 1 s. Documents that earlier builds push are still accepted; nodes of earlier builds get no documents from nodes of this one and read them from the store, as they do.

--- /dev/null
+++ b/include/kumquatdrift/mesh/config_fetch.hpp
@@ -0,0 +1,143 @@
+#ifndef KUMQUATDRIFT_MESH_CONFIG_FETCH_HPP
+#define KUMQUATDRIFT_MESH_CONFIG_FETCH_HPP
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <kumquatdrift/core/random.hpp>
+#include <kumquatdrift/core/time.hpp>
+#include <kumquatdrift/mesh/members.hpp>
+
+namespace kumquatdrift {
+
+/*! @brief Number of nodes of each data centre that follow the store. The others get new versions from nodes
+ * that have them, as a difference to their own version. Two, so that one may fail unnoticed. */
+constexpr std::size_t store_followers_per_data_centre = 2;
+/*! @brief Time for which a node follows the store after another one has taken its place, so that a link that
+ * breaks for a moment does not make nodes read the complete configuration again. */
+constexpr microseconds follower_retirement{10'000'000};
+/*! @brief Time after which a node that hasn't got a new configuration from another node reads it from the
+ * store. */
+constexpr microseconds store_read_delay{500'000};
+/*! @brief Time after which a read of the store that has brought no newer configuration is repeated. */
+constexpr microseconds store_read_timeout{1'500'000};
+/*! @brief Time after the start for which a node without a configuration waits for the store before it asks
+ * another node. */
+constexpr microseconds start_fetch_delay{1'000'000};
+/*! @brief Time limit for the response of a node that was asked for its configuration. */
+constexpr microseconds fetch_timeout{1'000'000};
+/*! @brief Time for which a node that did not respond in time, or with a document that cannot be used, is not
+ * asked again. */
+constexpr microseconds failed_source_delay{3'000'000};
+/*! @brief Time after which a busy node is asked again if no other node has the configuration. */
+constexpr microseconds busy_source_delay{200'000};
+/*! @brief Time for which a node may run an older configuration than others and still call itself ready. It
+ * leaves the rest of the time within which a version must be in force (2 s) to the platform, which stops
+ * sending new requests after two checks that fail. */
+constexpr microseconds max_lag_when_ready{1'000'000};
+
+/*! @brief What a node knows about configurations that are newer than its own. */
+struct config_fetch {
+    /*! @brief Version in force on this node; 0 if it has none. */
+    std::uint32_t version{};
+    /*! @brief Newest version that any node has reported. */
+    std::uint32_t newest_known{};
+    /*! @brief Time since which a newer version has been known; zero if there is none. */
+    timestamp behind_since{};
+    /*! @brief Time before which the store is not read again. */
+    timestamp next_store_read{};
+    /*! @brief Time until which this node follows the store even if it is not one of the followers; zero until
+     * the first check. */
+    timestamp follows_until{};
+    /*! @brief Start of this node. */
+    timestamp started{};
+    /*! @brief Node that has been asked and has not responded yet; empty if there is none. */
+    std::string source{};
+    /*! @brief Time at which `source` was asked. */
+    timestamp asked_at{};
+    /*! @brief Times until which nodes are not asked. */
+    std::map<std::string, timestamp, std::less<>> not_before{};
+};
+
+/**
+ * @brief Records the version that another node runs.
+ * @param fetch State; updated.
+ * @param version Version.
+ * @param now Current time.
+ */
+void observe_version(config_fetch& fetch, std::uint32_t version, timestamp now);
+
+/**
+ * @brief Records that a version is in force on this node.
+ * @param fetch State; updated.
+ * @param version Version.
+ */
+void set_version_in_force(config_fetch& fetch, std::uint32_t version);
+
+/*! @brief Checks whether a version that is newer than the one in force is known to exist. */
+[[nodiscard]] inline bool is_behind(const config_fetch& fetch) noexcept
+{
+    return fetch.newest_known > fetch.version;
+}
+
+/**
+ * @brief Checks whether a node that doesn't follow the store has to read it, because no other node has sent
+ * the newer version in time.
+ * @param fetch State; if the result is true, the next read is due after another delay.
+ * @param now Current time.
+ * @return True if so.
+ */
+[[nodiscard]] bool take_store_read(config_fetch& fetch, timestamp now);
+
+/**
+ * @brief Checks whether this node has a configuration, and has not been behind others for too long.
+ * @param fetch State.
+ * @param now Current time.
+ * @return True if the node can serve requests by its configuration.
+ */
+[[nodiscard]] bool is_current(const config_fetch& fetch, timestamp now) noexcept;
+
+/**
+ * @brief Chooses the node to ask for a newer configuration: at random among the nodes of the own data centre
+ * that have a newer one, and else among those of the others. One node is asked at a time, so that the bytes
+ * that this node receives don't grow with the number of nodes.
+ * @param fetch State; `source` and `asked_at` are set, and a source that has not responded in time is given
+ * up.
+ * @param members Other nodes.
+ * @param data_centre Data centre of this node.
+ * @param now Current time.
+ * @param rng Random engine.
+ * @return The node to ask now, or nothing.
+ */
+[[nodiscard]] std::optional<std::string> next_source(config_fetch& fetch, const member_table& members,
+                                                     std::string_view data_centre, timestamp now,
+                                                     random_engine& rng);
+
+/**
+ * @brief Records the response of a node that was asked.
+ * @param fetch State; updated.
+ * @param node Node that responded.
+ * @param retry_delay Time for which it is not asked again; zero if its response was used.
+ * @param now Current time.
+ */
+void on_source_response(config_fetch& fetch, std::string_view node, microseconds retry_delay, timestamp now);
+
+/**
+ * @brief Checks whether this node is to follow the store: it is one of the followers of its data centre, or
+ * was until recently. All nodes of a data centre that reach the same nodes agree on the followers. A node
+ * that has lost the store is replaced by another one.
+ * @param fetch State; updated.
+ * @param self Record of this node.
+ * @param members Other nodes.
+ * @param now Current time.
+ * @return True if so.
+ */
+[[nodiscard]] bool follows_store(config_fetch& fetch, const member_record& self, const member_table& members,
+                                 timestamp now);
+
+} // namespace kumquatdrift
+
+#endif
--- a/include/kumquatdrift/mesh/fwd.hpp
+++ b/include/kumquatdrift/mesh/fwd.hpp
@@ -19,6 +19,7 @@
 struct target_load;
 struct member_record;
 class member_table;
+struct config_fetch;
 
 } // namespace kumquatdrift
 
--- a/include/kumquatdrift/mesh/members.hpp
+++ b/include/kumquatdrift/mesh/members.hpp
@@ -102,6 +102,8 @@
     bool leaving{};
     /*! @brief Version of the configuration in force on the node. */
     std::uint32_t config_version{};
+    /*! @brief True if the node follows the store and cannot read it. */
+    bool store_lost{};
     /*! @brief Load of its target. */
     target_load load{};
 };
@@ -178,6 +180,12 @@
         return this->members;
     }
 
+    /*! @copydoc all */
+    [[nodiscard]] const std::map<std::string, member, std::less<>>& all() const noexcept
+    {
+        return this->members;
+    }
+
 private:
     std::map<std::string, member, std::less<>> members{};
 };
--- a/src/gateway/hop_codec.cpp
+++ b/src/gateway/hop_codec.cpp
@@ -86,6 +86,7 @@
     message.set_cold_ms(millisecond_count(std::chrono::duration_cast<milliseconds>(record.cold_left)));
     message.set_leaving(record.leaving);
     message.set_config_version(record.config_version);
+    message.set_store_lost(record.store_lost);
     encode(record.load, *message.mutable_load());
 }
 
@@ -109,6 +110,7 @@
                          milliseconds{message.cold_ms()},
                          message.leaving(),
                          message.config_version(),
+                         message.store_lost(),
                          decode(message.load())};
 }
 
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -34,9 +34,6 @@
 /*! @brief Time after a reply for which no node is asked for all known nodes again; changes arrive sooner from
  *         the store. */
 constexpr microseconds members_query_interval{5'000'000};
-/*! @brief Time for which a node may run an older configuration before it is sent the current one. Most
- *         nodes get it from the store within this time. */
-constexpr microseconds push_delay{200'000};
 /*! @brief Queueing delay above which a request is logged; many times the latency between data centres. */
 constexpr microseconds logged_queueing_delay{100'000};
 /*! @brief Interval at which advisories about requests that crash targets are sent. */
@@ -46,9 +43,17 @@
 
 peers::peers(const dependencies& common, std::function<member_record()> own,
              std::function<void(std::uint32_t, const std::string&)> newer_config)
-    : shared{common}, self{std::move(own)}, on_config{std::move(newer_config)},
-      listener{common.loop, [this](const socket_stream::pointer& connection) { this->accept(connection); }},
-      metrics{make_link_metrics(common.metrics)}
+    : shared{common}, self{std::move(own)}, listener{common.loop,
+                                                     [this](const socket_stream::pointer& connection) {
+                                                         this->accept(connection);
+                                                     }},
+      metrics{make_link_metrics(common.metrics)}, configs{
+                                                      {common.log, common.rng, this->table,
+                                                       [this](const std::string& node, hop::Frame& frame) {
+                                                           return this->send_to(node, frame);
+                                                       },
+                                                       std::move(newer_config)},
+                                                      boot_now()}
 {
     this->shared.loop.on_tick([this](timestamp now) { this->on_tick(now); });
     this->listener.on_error([this](const std::string& cause) {
@@ -98,7 +103,6 @@
                 return;
             }
             dialled.failures = 0;
-            dialled.pushed_version = 0;
             dialled.link =
                 std::make_shared<peer_link>(this->shared.loop, std::move(connection), this->metrics);
             dialled.link->outbound = true;
@@ -170,11 +174,20 @@
         this->on_response(link, *frame.mutable_answer());
         break;
     case hop::Frame::kConfiguration:
-        this->on_config(frame.configuration().version(), frame.configuration().document());
+        this->configs.on_response(link->node, frame.configuration(), boot_now());
         break;
+    case hop::Frame::kConfigurationRequest: {
+        hop::Frame response{};
+        *response.mutable_configuration() =
+            this->configs.on_request(link->node, frame.configuration_request(), boot_now());
+        link->send(response);
+        break;
+    }
     case hop::Frame::kPing: {
+        this->on_peer_version(link->node, frame.ping().config_version());
         hop::Frame pong{};
         pong.mutable_pong()->set_number(frame.ping().number());
+        pong.mutable_pong()->set_config_version(this->configs.version());
         encode(this->shared.host.load(), *pong.mutable_pong()->mutable_load());
         link->send(pong);
         break;
@@ -184,6 +197,7 @@
             this->metrics.ping_seconds->observe(std::chrono::duration<double>{boot_now() - sent}.count());
         }
         this->table.update_load(link->node, decode(frame.pong().load()), boot_now());
+        this->on_peer_version(link->node, frame.pong().config_version());
         break;
     case hop::Frame::kAdvisory:
         this->shared.quarantine.on_advisory(decode(frame.advisory()), boot_now());
@@ -217,6 +231,7 @@
     const auto state_before = before != nullptr ? before->record.state : report_state::unknown;
     const auto instance_before = before != nullptr ? before->record.instance : "";
     this->table.merge(*record, member_table::origin::link, boot_now());
+    this->configs.observe_version(record->config_version, boot_now());
     if (state_before != record->state || instance_before != record->instance) {
         this->shared.log.write(log_level::info, event_class::state, "peers", "target_of_node",
                                "node={} service={} instance={} state={} before={} revision={}", record->node,
@@ -324,7 +339,37 @@
 
 void peers::set_config(mesh_config_ptr newest)
 {
-    this->config = std::move(newest);
+    this->configs.set_config(std::move(newest));
+}
+
+bool peers::follows_store(timestamp now)
+{
+    return this->configs.follows_store(this->self(), now);
+}
+
+std::size_t peers::reachable_count() const
+{
+    const auto& members = this->table.all();
+    return static_cast<std::size_t>(std::count_if(members.begin(), members.end(),
+                                                  [](const auto& entry) { return entry.second.reachable; }));
+}
+
+void peers::on_peer_version(const std::string& node, std::uint32_t version)
+{
+    if (auto* known = this->table.find(node)) {
+        known->record.config_version = std::max(known->record.config_version, version);
+    }
+    this->configs.observe_version(version, boot_now());
+}
+
+bool peers::send_to(const std::string& node, hop::Frame& frame)
+{
+    const auto found = this->outbound_links.find(node);
+    if (found == this->outbound_links.end() || !found->second.link) {
+        return false;
+    }
+    found->second.link->send(frame);
+    return true;
 }
 
 std::uint64_t peers::run(std::string_view node, const target_request_ptr& request, attempt_callback done)
@@ -391,6 +436,9 @@
             this->dial(node, peer);
         }
     }
+    if (is_behind(this->configs.state())) {
+        this->configs.on_tick(this->self().data_centre, now);
+    }
     if (this->next_advisories <= now) {
         this->next_advisories = now + advisory_interval;
         this->send_advisories();
@@ -419,37 +467,9 @@
         link->ping_sent_at = now;
         hop::Frame frame{};
         frame.mutable_ping()->set_number(static_cast<std::uint64_t>(now.time_since_epoch().count()));
+        frame.mutable_ping()->set_config_version(this->configs.version());
         link->send(frame);
     }
-    this->push_config(node, peer, now);
-}
-
-void peers::push_config(const std::string& node, outbound_link& peer, timestamp now)
-{
-    const auto* known = this->table.find(node);
-    if (!this->config || known == nullptr || known->record.config_version >= this->config->version ||
-        peer.pushed_version >= this->config->version) {
-        peer.lagging_since = {};
-        return;
-    }
-    if (peer.lagging_since == timestamp{}) {
-        // A node without a configuration can't serve requests, so it is sent one without delay.
-        peer.lagging_since = known->record.config_version == 0
-                                 ? now - push_delay
-                                 : now + full_jitter(this->shared.rng, push_delay);
-        return;
-    }
-    if (now - peer.lagging_since < push_delay) {
-        return;
-    }
-    peer.pushed_version = this->config->version;
-    hop::Frame frame{};
-    frame.mutable_configuration()->set_version(this->config->version);
-    frame.mutable_configuration()->set_document(this->config->document);
-    peer.link->send(frame);
-    this->shared.log.write(log_level::info, event_class::state, "peers", "config_handed_on",
-                           "node={} version={} peer_version={}", node, this->config->version,
-                           known->record.config_version);
 }
 
 void peers::send_advisories()
--- a/src/gateway/peers.hpp
+++ b/src/gateway/peers.hpp
@@ -15,6 +15,7 @@
 #include <kumquatdrift/telemetry/event_log.hpp>
 #include <kumquatdrift/traffic/quarantine.hpp>
 
+#include "config_exchange.hpp"
 #include "peer_link.hpp"
 #include "target_host.hpp"
 #include "tcp_listener.hpp"
@@ -71,11 +72,38 @@
     void broadcast_state();
 
     /**
-     * @brief Sets the configuration to send to nodes that run an older version.
+     * @brief Sets the configuration to send to nodes that ask for it.
      * @param config Configuration in force.
      */
     void set_config(mesh_config_ptr config);
 
+    /*! @brief Returns what is known about configurations that are newer than the one in force. */
+    [[nodiscard]] const config_fetch& newer_config() const noexcept
+    {
+        return this->configs.state();
+    }
+
+    /**
+     * @brief Checks whether the newest configuration has to be read from the store, because no other node has
+     * sent it.
+     * @param now Current time.
+     * @return True if so; then false until some time has passed.
+     */
+    [[nodiscard]] bool take_store_read(timestamp now)
+    {
+        return this->configs.take_store_read(now);
+    }
+
+    /*! @brief Returns the number of nodes that respond. */
+    [[nodiscard]] std::size_t reachable_count() const;
+
+    /**
+     * @brief Checks whether this node is to follow the configuration in the store.
+     * @param now Current time.
+     * @return True if so; the others get new versions from other nodes.
+     */
+    [[nodiscard]] bool follows_store(timestamp now);
+
     /**
      * @brief Sends a request to the node of a target.
      * @param node Name of the node.
@@ -114,10 +142,6 @@
         socket_stream::pointer connecting{};
         timestamp next_dial{};
         timestamp last_ping{};
-        /*! @brief Latest configuration version sent on this link. */
-        std::uint32_t pushed_version{};
-        /*! @brief Start of the delay before a node with an older configuration is sent the current one. */
-        timestamp lagging_since{};
         /*! @brief Consecutive failures to connect. */
         std::uint32_t failures{};
     };
@@ -134,19 +158,19 @@
     void close_link(const peer_link::pointer& link, const std::string& cause);
     void on_tick(timestamp now);
     void check_link(const std::string& node, outbound_link& peer, timestamp now);
-    void push_config(const std::string& node, outbound_link& peer, timestamp now);
+    void on_peer_version(const std::string& node, std::uint32_t version);
+    [[nodiscard]] bool send_to(const std::string& node, hop::Frame& frame);
     void set_reachable(const std::string& node, bool reachable, const std::string& cause);
     void send_advisories();
 
     dependencies shared;
     std::function<member_record()> self;
-    std::function<void(std::uint32_t, const std::string&)> on_config;
     tcp_listener listener;
     link_metrics metrics;
     member_table table{};
+    config_exchange configs;
     std::map<std::string, outbound_link, std::less<>> outbound_links{};
     std::unordered_set<peer_link::pointer> inbound_links{};
-    mesh_config_ptr config{};
     std::uint64_t last_id{};
     timestamp next_advisories{};
     /*! @brief Earliest time at which the node at the other end of a new link is asked for all known nodes. */
--- /dev/null
+++ b/src/mesh/config_fetch.cpp
@@ -0,0 +1,119 @@
+#include <kumquatdrift/mesh/config_fetch.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include <kumquatdrift/core/rendezvous.hpp>
+
+namespace kumquatdrift {
+namespace {
+
+/*! @brief Key of the rendezvous hash that selects the nodes that follow the store. */
+constexpr std::string_view follower_key = "configuration";
+
+bool may_be_asked(const config_fetch& fetch, std::string_view node, timestamp now)
+{
+    const auto delayed = fetch.not_before.find(node);
+    return delayed == fetch.not_before.end() || delayed->second <= now;
+}
+
+} // namespace
+
+void observe_version(config_fetch& fetch, std::uint32_t version, timestamp now)
+{
+    fetch.newest_known = std::max(fetch.newest_known, version);
+    if (is_behind(fetch) && fetch.behind_since == timestamp{}) {
+        fetch.behind_since = now;
+    }
+}
+
+void set_version_in_force(config_fetch& fetch, std::uint32_t version)
+{
+    fetch.version = version;
+    fetch.newest_known = std::max(fetch.newest_known, version);
+    if (!is_behind(fetch)) {
+        fetch.behind_since = {};
+        fetch.source.clear();
+        fetch.not_before.clear();
+    }
+}
+
+bool take_store_read(config_fetch& fetch, timestamp now)
+{
+    if (!is_behind(fetch) || now - fetch.behind_since < store_read_delay || fetch.next_store_read > now) {
+        return false;
+    }
+    fetch.next_store_read = now + store_read_timeout;
+    return true;
+}
+
+bool is_current(const config_fetch& fetch, timestamp now) noexcept
+{
+    return fetch.version != 0 && (!is_behind(fetch) || now - fetch.behind_since <= max_lag_when_ready);
+}
+
+std::optional<std::string> next_source(config_fetch& fetch, const member_table& members,
+                                       std::string_view data_centre, timestamp now, random_engine& rng)
+{
+    if (!fetch.source.empty()) {
+        if (now - fetch.asked_at <= fetch_timeout) {
+            return std::nullopt;
+        }
+        fetch.not_before[std::exchange(fetch.source, "")] = now + failed_source_delay;
+    }
+    if (!is_behind(fetch) || (fetch.version == 0 && now - fetch.started < start_fetch_delay)) {
+        return std::nullopt;
+    }
+    std::vector<const std::string*> nearby{};
+    std::vector<const std::string*> distant{};
+    for (const auto& [node, member] : members.all()) {
+        if (member.reachable && member.record.config_version > fetch.version &&
+            may_be_asked(fetch, node, now)) {
+            (member.record.data_centre == data_centre ? nearby : distant).push_back(&node);
+        }
+    }
+    const auto& candidates = nearby.empty() ? distant : nearby;
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    std::uniform_int_distribution<std::size_t> index{0, candidates.size() - 1};
+    fetch.source = *candidates[index(rng)];
+    fetch.asked_at = now;
+    return fetch.source;
+}
+
+void on_source_response(config_fetch& fetch, std::string_view node, microseconds retry_delay, timestamp now)
+{
+    if (fetch.source == node) {
+        fetch.source.clear();
+    }
+    if (retry_delay > microseconds{0}) {
+        fetch.not_before[std::string{node}] = now + retry_delay;
+    }
+}
+
+bool follows_store(config_fetch& fetch, const member_record& self, const member_table& members, timestamp now)
+{
+    std::vector<std::string> candidates{};
+    const auto may_follow = [&self](const member_record& record) {
+        return !record.leaving && !record.store_lost && record.data_centre == self.data_centre;
+    };
+    if (may_follow(self)) {
+        candidates.push_back(self.node);
+    }
+    for (const auto& [node, member] : members.all()) {
+        if (member.reachable && may_follow(member.record)) {
+            candidates.push_back(node);
+        }
+    }
+    const auto followers =
+        rendezvous_rank(follower_key, std::move(candidates), store_followers_per_data_centre);
+    const auto selected = std::find(followers.begin(), followers.end(), self.node) != followers.end();
+    if (selected || fetch.follows_until == timestamp{}) {
+        fetch.follows_until = now + follower_retirement;
+    }
+    return fetch.follows_until > now;
+}
+
+} // namespace kumquatdrift
--- a/tests/gateway/config_distribution.cpp
+++ b/tests/gateway/config_distribution.cpp
@@ -101,7 +101,7 @@
     random_engine rng{1};
     std::unique_ptr<node_relay> relay{};
     peers links{
-        {this->world.loop, this->world.log, this->host, this->quarantine, this->rng},
+        {this->world.loop, this->world.log, this->host, this->quarantine, this->rng, this->world.metrics},
         [this] { return this->record(); },
         [this](std::uint32_t version, const std::string& document) { this->on_config(version, document); }};
 };
--- a/tests/gateway/frame_priority.cpp
+++ b/tests/gateway/frame_priority.cpp
@@ -140,7 +140,8 @@
                      std::chrono::seconds{60},
                      [] {}};
     random_engine rng{1};
-    peers links{{this->world.loop, this->world.log, this->host, this->world.quarantine, this->rng},
+    peers links{{this->world.loop, this->world.log, this->host, this->world.quarantine, this->rng,
+                 this->world.metrics},
                 [] {
                     member_record own{};
                     own.node = "node";
