Let two nodes of each data centre follow the store

Ruled out: a cheap signal from the store.

Change: all nodes of a data centre select the same two by a rendezvous hash over the nodes that they reach; these wait for new records and announce a new version to all others, which fetch the difference from them. A node that cannot read the store says so and is replaced. A node that knows of a newer version and gets it from no other node within 0.5 s reads the store itself.

--- a/include/kumquatdrift/gateway/platform.hpp
+++ b/include/kumquatdrift/gateway/platform.hpp
@@ -44,6 +44,9 @@
 struct platform_callbacks {
     /*! @brief Receives a complete configuration. */
     std::function<void(mesh_config_ptr)> on_config{};
+    /*! @brief Receives false when the configuration in the store can no longer be read, and true when it can
+     * be read again. */
+    std::function<void(bool available)> on_config_access{};
     /*! @brief Receives the record of a node, with its address. */
     std::function<void(member_record)> on_member{};
     /*! @brief Receives an event and its fields for the log, such as a record that cannot be decoded or a
@@ -107,6 +110,16 @@
      */
     virtual void announce(const member_record& self) = 0;
 
+    /**
+     * @brief Starts or stops following the configuration in the store; it is followed at first. Each start
+     * reads the newest configuration.
+     * @param follow True to start.
+     */
+    virtual void follow_config(bool follow) = 0;
+
+    /*! @brief Reads the newest configuration from the store once; retries until the store has answered. */
+    virtual void read_config() = 0;
+
     /*! @brief Closes idle connections to the store and reads it again, after a suspension. */
     virtual void refresh() = 0;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -38,6 +38,8 @@
 constexpr microseconds linger_after_listening{100'000};
 /*! @brief Interval at which the settings file is checked for changes. */
 constexpr microseconds settings_check_interval{1'000'000};
+/*! @brief Interval at which it is checked whether this node is to follow the store. */
+constexpr microseconds store_check_interval{500'000};
 /*! @brief Time after the start before the health of a target that has not reported is checked. */
 constexpr microseconds first_report_timeout{150'000};
 constexpr std::size_t bytes_per_mb = 1'048'576;
@@ -127,6 +129,7 @@
                         this->started_ms, this->settings.callers_address, this->settings.peers_address);
         this->platform->watch(
             {[this](mesh_config_ptr newer) { this->apply_config(std::move(newer), "store"); },
+             [this](bool available) { this->on_store_access(available); },
              [this](const member_record& record) { this->peer_nodes.on_member(record); },
              [this](bool normal, const std::string& event, const std::string& fields) {
                  this->log.write(normal ? log_level::info : log_level::warn, event_class::state, "platform",
@@ -164,6 +167,7 @@
         own.cold_left = report.cold_left;
         own.leaving = this->stopping_since.has_value();
         own.config_version = this->config ? this->config->version : 0;
+        own.store_lost = this->store_lost;
         own.load = this->local_target.load();
         return own;
     }
@@ -192,7 +196,11 @@
         this->log.write(log_level::info, event_class::state, "config", "config_in_force",
                         "version={} before={} source={} routes={} services={}", this->config->version,
                         current, source, this->config->routes.size(), this->config->services.size());
-        this->broadcast_state();
+        // Other nodes learn the version with the next ping. Only those that follow the store tell them at
+        // once: otherwise the number of messages grew with the square of the number of nodes.
+        if (this->follows_store) {
+            this->broadcast_state();
+        }
         this->check_target_health();
     }
 
@@ -330,9 +338,41 @@
         if (this->stopping_since) {
             this->continue_shutdown(now);
         }
+        this->check_store(now);
         this->log.flush();
     }
 
+    void on_store_access(bool available)
+    {
+        const auto lost = this->follows_store && !available;
+        if (std::exchange(this->store_lost, lost) != lost) {
+            this->broadcast_state();
+        }
+    }
+
+    void check_store(timestamp now)
+    {
+        if (this->next_store_check <= now) {
+            this->next_store_check = now + store_check_interval;
+            const auto follow = this->peer_nodes.follows_store(now);
+            if (std::exchange(this->follows_store, follow) != follow) {
+                this->log.write(log_level::info, event_class::state, "config", "store_followed", "follows={}",
+                                follow);
+                this->platform->follow_config(follow);
+                // What is known of the store becomes outdated once it is no longer followed.
+                if (!follow && std::exchange(this->store_lost, false)) {
+                    this->broadcast_state();
+                }
+            }
+        }
+        if (!this->follows_store && this->peer_nodes.take_store_read(now)) {
+            this->log.write(log_level::info, event_class::state, "config", "store_read",
+                            "version={} newest_known={}", this->config ? this->config->version : 0,
+                            this->peer_nodes.newer_config().newest_known);
+            this->platform->read_config();
+        }
+    }
+
     void continue_shutdown(timestamp now)
     {
         const auto stopping_for = now - *this->stopping_since;
@@ -379,6 +419,10 @@
     std::optional<timestamp> listening_ended{};
     std::optional<std::filesystem::file_time_type> settings_modified{};
     timestamp next_settings_check{};
+    timestamp next_store_check{};
+    bool follows_store{true};
+    /*! @brief True if this node follows the store and cannot read it. */
+    bool store_lost{};
     bool health_requested{};
     bool last_readiness{};
 };
--- a/tests/support/gateway_world.hpp
+++ b/tests/support/gateway_world.hpp
@@ -52,6 +52,8 @@
 
     void watch(platform_callbacks) override {}
     void announce(const member_record&) override {}
+    void follow_config(bool) override {}
+    void read_config() override {}
     void refresh() override {}
 
 private:
