Reject requests without a route with 503 while a newer version is known

Cause: a node answered 404 for each path without a route, although it knew from the records of other nodes that it ran an older version. With the newest version that it knows of, the answer is 404 as before. The log line of a rejected request names both versions.

--- a/src/gateway/entry_router.cpp
+++ b/src/gateway/entry_router.cpp
@@ -54,12 +54,13 @@
         .add();
     this->shared.log.write(
         log_level::info, event_class::failed_request, "entry", "request_rejected",
-        "id={} status={} cause={} method={} host={} path={} version={}", log_value(id != nullptr ? *id : ""),
-        status, log_value(cause), log_value(exchange->request.method),
+        "id={} status={} cause={} method={} host={} path={} version={} newest_known={}",
+        log_value(id != nullptr ? *id : ""), status, log_value(cause), log_value(exchange->request.method),
         log_value(find_field(exchange->request.fields, "Host") != nullptr
                       ? *find_field(exchange->request.fields, "Host")
                       : ""),
-        log_value(exchange->request.target), this->routes ? this->routes->config().version : 0);
+        log_value(exchange->request.target), this->routes ? this->routes->config().version : 0,
+        this->shared.peer_nodes.newer_config().newest_known);
     exchange->respond(response);
 }
 
@@ -78,7 +79,9 @@
     }
     const auto* route = host != nullptr ? this->routes->find(*host, exchange->request.target) : nullptr;
     if (route == nullptr) {
-        this->reject_unrouted(exchange, 404, "no_route");
+        // A newer configuration may have the route.
+        const auto behind = is_behind(this->shared.peer_nodes.newer_config());
+        this->reject_unrouted(exchange, behind ? 503 : 404, behind ? "configuration_behind" : "no_route");
         return;
     }
     if (id == nullptr || id->empty()) {
