Call a node ready once it is linked and runs a current version

Change: it is ready when it is linked to more than half of the nodes that it knows, or 2 s after its first configuration, and while it hasn't been behind another node's version for more than a second. Links that break later don't matter.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -42,6 +42,9 @@
 constexpr microseconds store_check_interval{500'000};
 /*! @brief Time after the start before the health of a target that has not reported is checked. */
 constexpr microseconds first_report_timeout{150'000};
+/*! @brief Time after the first configuration after which a node calls itself ready although it is not linked
+ * to most of the nodes that it knows. */
+constexpr microseconds max_connect_time{2'000'000};
 constexpr std::size_t bytes_per_mb = 1'048'576;
 /*! @brief Request bodies may occupy the memory limit divided by this number: each body is held twice while
  * the request is forwarded, and responses and the process need the rest. */
@@ -190,6 +193,9 @@
                             "version={} current={} source={}", newer->version, current, source);
             return;
         }
+        if (!this->config) {
+            this->config_since = boot_now();
+        }
         this->config = std::move(newer);
         this->router.set_routes(std::make_shared<const route_index>(this->config));
         this->peer_nodes.set_config(this->config);
@@ -244,19 +250,32 @@
 
     void on_readiness_check(const http_exchange_ptr& exchange)
     {
-        const auto ready = this->config && !this->stopping_since;
+        const auto ready = this->is_ready(boot_now());
         if (!this->platform->is_ready_check(exchange->request)) {
             exchange->respond({404, "", "", ""});
             return;
         }
         if (std::exchange(this->last_readiness, ready) != ready) {
             this->log.write(log_level::info, event_class::state, "gateway", ready ? "ready" : "not_ready",
-                            "config={} stopping={}", this->config ? this->config->version : 0,
-                            this->stopping_since.has_value());
+                            "config={} newest_known={} reachable={} known={} stopping={}",
+                            this->config ? this->config->version : 0,
+                            this->peer_nodes.newer_config().newest_known, this->peer_nodes.reachable_count(),
+                            this->peer_nodes.members().all().size(), this->stopping_since.has_value());
         }
         exchange->respond({ready ? 200U : 503U, "", "", ""});
     }
 
+    [[nodiscard]] bool is_ready(timestamp now)
+    {
+        if (!this->config || this->stopping_since || !is_current(this->peer_nodes.newer_config(), now)) {
+            return false;
+        }
+        // Links that break later don't matter: callers on this host have no better node to go to.
+        this->connected = this->connected || now - this->config_since > max_connect_time ||
+                          2 * this->peer_nodes.reachable_count() > this->peer_nodes.members().all().size();
+        return this->connected;
+    }
+
     void wait_for_signal()
     {
         this->signals.async_wait([this](const boost::system::error_code& error, int number) {
@@ -425,6 +444,10 @@
     bool store_lost{};
     bool health_requested{};
     bool last_readiness{};
+    /*! @brief Time at which this node got its first configuration. */
+    timestamp config_since{};
+    /*! @brief True once this node has been linked to most other nodes. */
+    bool connected{};
 };
 
 } // namespace
