--- a/tests/gateway/frame_priority.cpp
+++ b/tests/gateway/frame_priority.cpp
@@ -69,6 +69,7 @@
         other.ip = "127.0.0.1";
         other.port = 9;
         encode(other, *frame.mutable_hello()->mutable_self());
+        frame.mutable_hello()->set_accepts_parts(true);
         return frame;
     }
 
