Count the delay of congested links in the choice of a target

Cause (by reading): placement knew slots and service times only. The load of a node behind a congested link is old when it arrives, and it reset the count of requests sent since, although those were still in transit. Such a node looked free and got still more requests.

Ruled out: deriving the requests in transit from a counter at the time of the ping. It is exact for pongs, but for a load in an answer it counts all requests that arrived during the service time twice, which matters at targets that get most of their load from one node.

Change: - link_delay keeps the round trip of the pings of a link minus the shortest one. It rises at once, also with the age of an unanswered ping, and halves in 0.25 s. - Pongs and answers state how many requests had arrived on the link (optional field; a version without it is treated as before). The others stay counted. A record with a load does not change the count. - The delay adds to the cost and to the check of the time left. A free target is exempt, as before, up to a delay of half a service time. An untried target gets its first request only within the same delay. - The mean delay for each request in transit, as recent pings have shown it, times the requests in transit adds to the cost if it is higher; it rejects nothing.

The test load_resets_count_of_requests_since_latest_load is replaced because the count is now derived: load_that_includes_all_sent_requests_resets_their_count checks the same values for a load that includes all requests; the other cases have tests of their own.

Not measured: a fleet with thin links.

--- a/include/kumquatdrift/mesh/fwd.hpp
+++ b/include/kumquatdrift/mesh/fwd.hpp
@@ -19,6 +19,7 @@
 struct target_load;
 struct member_record;
 class member_table;
+class link_delay;
 
 } // namespace kumquatdrift
 
--- a/include/kumquatdrift/mesh/members.hpp
+++ b/include/kumquatdrift/mesh/members.hpp
@@ -14,6 +14,7 @@
 #include <kumquatdrift/core/enum_names.hpp>
 #include <kumquatdrift/core/time.hpp>
 #include <kumquatdrift/mesh/fwd.hpp>
+#include <kumquatdrift/mesh/link_delay.hpp>
 #include <kumquatdrift/traffic/failure_rate_estimator.hpp>
 
 namespace kumquatdrift {
@@ -116,8 +117,13 @@
     timestamp load_received_at{};
     /*! @brief End of the slow phase after its target's start. */
     timestamp cold_until{};
-    /*! @brief Requests sent to the node since the latest load was received. */
-    std::uint32_t sent_since_load{};
+    /*! @brief Queueing delay of the link to the node. */
+    link_delay delay{};
+    /*! @brief Requests sent to the node on the current link. */
+    std::uint64_t requests_sent{};
+    /*! @brief Requests that had arrived at the node on the current link when it measured a load, as it last
+     *         reported. */
+    std::uint64_t requests_arrived{};
     /*! @brief Requests sent to the node whose response is outstanding. */
     std::uint32_t in_flight{};
     /*! @brief Time until which its target is ejected, that is, avoided by load balancing. */
@@ -129,6 +135,24 @@
     std::uint32_t consecutive_failures{};
     /*! @brief Failure rate of its target. */
     failure_rate_estimator failure_rate{};
+
+    /**
+     * @brief Returns the number of requests that the known load does not include because they had not arrived
+     *        when it was measured.
+     * @return Number of requests sent to the node.
+     */
+    [[nodiscard]] std::uint32_t sent_since_load() const noexcept
+    {
+        return static_cast<std::uint32_t>(this->requests_sent - this->requests_arrived);
+    }
+
+    /*! @brief Forgets the requests and the ping that were sent on a link that has closed. */
+    void on_link_closed() noexcept
+    {
+        this->delay.on_link_closed();
+        this->requests_sent = 0;
+        this->requests_arrived = 0;
+    }
 };
 
 /*! @brief All other nodes known to this node, by name. Not thread-safe. */
@@ -158,9 +182,12 @@
      * @brief Updates the load of a node's target. Ignored for an unknown node.
      * @param node Name of the node.
      * @param load Load of its target.
+     * @param requests_arrived Requests that had arrived on the current link when the load was measured;
+     * nothing if the node runs a version that does not report it. All are then taken as arrived.
      * @param now Current time.
      */
-    void update_load(std::string_view node, const target_load& load, timestamp now);
+    void update_load(std::string_view node, const target_load& load,
+                     std::optional<std::uint64_t> requests_arrived, timestamp now);
 
     /**
      * @brief Finds a node.
--- a/include/kumquatdrift/traffic/placement.hpp
+++ b/include/kumquatdrift/traffic/placement.hpp
@@ -21,7 +21,7 @@
     std::string_view node{};
     /*! @brief Load that its node last reported. */
     target_load load{};
-    /*! @brief Requests that this node has sent there since that report. */
+    /*! @brief Requests that this node has sent there and that report does not include. */
     std::uint32_t sent_since_load{};
     /*! @brief True if it runs on the host of this node. */
     bool same_host{};
@@ -35,6 +35,11 @@
     double failure_rate{};
     /*! @brief True if this node has never sent it a request and this request may be the first. */
     bool untried{};
+    /*! @brief Queueing delay of the link to its node, there and back; 0 on the host of this node. */
+    microseconds link_delay{};
+    /*! @brief Delay of the link that is expected from the requests in transit on it; less certain than the
+     *         measured one, so it adds to the cost but rejects no request. */
+    microseconds expected_link_delay{};
 };
 
 /*! @brief Costs of distance, as the additional response time that a request accepts to stay closer. */
@@ -66,8 +71,8 @@
 struct placement {
     /*! @brief Index of the candidate; nothing if none can respond in time. */
     std::optional<std::size_t> candidate{};
-    /*! @brief If there is none, the estimated time until a candidate has a free slot; 500 ms if it cannot be
-     *         estimated. */
+    /*! @brief If there is none, the estimated time until a candidate has a free slot for a request sent on
+     * its link; 500 ms if it cannot be estimated. */
     microseconds time_to_free_slot{};
 };
 
@@ -75,11 +80,12 @@
  * @brief Chooses the target with the lowest cost: the expected response time plus costs of distance and
  *        failures.
  *
- * A target that this node has never used gets its first request as soon as it has a free slot and is no
- * longer slow after its start, wherever it is, so that it is known to work before it is needed.
+ * A target that this node has never used gets its first request as soon as it has a free slot, its link is
+ * not congested and it is no longer slow after its start, wherever it is, so that it is known to work before
+ * it is needed.
  *
  * Takes the load of a target from the last report of its node, and adds the requests that this node has sent
- * to it since.
+ * to it and that had not arrived there. The delay of a congested link is part of the response time.
  *
  * @param candidates Targets of the service that take requests and that the request was not sent to before.
  * @param times Times of the request.
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -80,6 +80,7 @@
     for (auto& frame : frames) {
         const auto callback = this->on_frame;
         const auto delay = this->queueing_delay(frame.sent_us(), this->last_received_at);
+        self->runs_received += frame.has_run() ? 1 : 0;
         // A request isn't started if it was delayed in transit for so long that its cancellation has arrived
         // too.
         const auto is_cancelled = frame.has_run() && cancelled_ids.contains(frame.run().id());
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -81,6 +81,8 @@
     timestamp ping_sent_at{};
     /*! @brief Requests received on this link and not completed: the other node's id to the local id. */
     std::unordered_map<std::uint64_t, std::uint64_t> inbound_requests{};
+    /*! @brief Number of requests that have arrived on this link, including those that were not started. */
+    std::uint64_t runs_received{};
     /*! @brief Callbacks of the requests sent on this link and not completed, by id. */
     std::unordered_map<std::uint64_t, attempt_callback> outbound_requests{};
 
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -1,6 +1,7 @@
 #include "peers.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -42,6 +43,13 @@
 /*! @brief Interval at which advisories about requests that crash targets are sent. */
 constexpr microseconds advisory_interval{200'000};
 
+/*! @brief Returns the number of requests that a pong or an answer reports as received on its link. */
+template<typename message_type>
+std::optional<std::uint64_t> runs_received(const message_type& message)
+{
+    return message.has_runs_received() ? std::optional{message.runs_received()} : std::nullopt;
+}
+
 } // namespace
 
 peers::peers(const dependencies& common, std::function<member_record()> own,
@@ -174,12 +182,17 @@
         hop::Frame pong{};
         pong.mutable_pong()->set_number(frame.ping().number());
         encode(this->shared.host.load(), *pong.mutable_pong()->mutable_load());
+        pong.mutable_pong()->set_runs_received(link->runs_received);
         link->send(pong);
         break;
     }
     case hop::Frame::kPong:
         link->ping_sent_at = {};
-        this->table.update_load(link->node, decode(frame.pong().load()), boot_now());
+        if (auto* known = this->table.find(link->node)) {
+            known->delay.on_pong(boot_now());
+        }
+        this->table.update_load(link->node, decode(frame.pong().load()), runs_received(frame.pong()),
+                                boot_now());
         break;
     case hop::Frame::kAdvisory:
         this->shared.quarantine.on_advisory(decode(frame.advisory()), boot_now());
@@ -237,6 +250,7 @@
             hop::Frame frame{};
             encode(result, *frame.mutable_answer());
             frame.mutable_answer()->set_id(id);
+            frame.mutable_answer()->set_runs_received(origin->runs_received);
             origin->send(frame);
         }
     };
@@ -271,7 +285,7 @@
         known->in_flight -= std::min(known->in_flight, 1U);
     }
     auto result = decode(message);
-    this->table.update_load(link->node, result.load, boot_now());
+    this->table.update_load(link->node, result.load, runs_received(message), boot_now());
     done(std::move(result));
 }
 
@@ -291,6 +305,7 @@
         if (auto* known = this->table.find(link->node)) {
             known->in_flight -=
                 std::min(known->in_flight, static_cast<std::uint32_t>(link->outbound_requests.size()));
+            known->on_link_closed();
         }
     }
     for (auto& [id, done] : std::exchange(link->outbound_requests, {})) {
@@ -339,7 +354,7 @@
     link->send(frame);
     link->outbound_requests.emplace(id, std::move(done));
     ++known->in_flight;
-    ++known->sent_since_load;
+    ++known->requests_sent;
     known->request_sent = true;
     return id;
 }
@@ -407,6 +422,9 @@
     if (now - peer.last_ping >= interval && link->ping_sent_at == timestamp{}) {
         peer.last_ping = now;
         link->ping_sent_at = now;
+        if (auto* known = this->table.find(node)) {
+            known->delay.on_ping(now, known->sent_since_load());
+        }
         hop::Frame frame{};
         frame.mutable_ping()->set_number(static_cast<std::uint64_t>(now.time_since_epoch().count()));
         link->send(frame);
--- a/src/mesh/members.cpp
+++ b/src/mesh/members.cpp
@@ -1,5 +1,6 @@
 #include <kumquatdrift/mesh/members.hpp>
 
+#include <algorithm>
 #include <tuple>
 
 namespace kumquatdrift {
@@ -35,16 +36,19 @@
         known.failure_rate = {};
         known.request_sent = false;
     }
-    this->update_load(record.node, record.load, now);
+    // A record does not state which requests its load includes, so the count of those in transit stays.
+    known.load_received_at = now;
     return address_changed;
 }
 
-void member_table::update_load(std::string_view node, const target_load& load, timestamp now)
+void member_table::update_load(std::string_view node, const target_load& load,
+                               std::optional<std::uint64_t> requests_arrived, timestamp now)
 {
     if (auto* known = this->find(node)) {
         known->record.load = load;
         known->load_received_at = now;
-        known->sent_since_load = 0;
+        known->requests_arrived =
+            std::min(requests_arrived.value_or(known->requests_sent), known->requests_sent);
     }
 }
 
--- a/src/traffic/placement.cpp
+++ b/src/traffic/placement.cpp
@@ -48,9 +48,16 @@
     return std::chrono::duration<double>{time}.count();
 }
 
+/*! @brief Largest delay of the link to a free target that is ignored in the check of the time left, as a
+ *         fraction of the service time: the estimate of the service time is no more accurate. */
+constexpr double ignored_delay = 0.5;
+
 struct response_estimate {
     double wait{};
     double service{};
+    double link_delay{};
+    /*! @brief True if a request sent now starts at once: there is a free slot and no congestion. */
+    bool is_free{};
 };
 
 response_estimate estimate_response(const placement_candidate& candidate, microseconds route_mean) noexcept
@@ -63,7 +70,9 @@
     const auto busy = static_cast<double>(load.running) + load.queued + candidate.sent_since_load;
     const auto slots = std::max(1.0, static_cast<double>(load.slots));
     const auto backlog = std::max(0.0, busy + 1.0 - slots);
-    return {target_mean * backlog / slots, service};
+    const auto wait = target_mean * backlog / slots;
+    const auto link_delay = seconds(candidate.link_delay);
+    return {wait, service, link_delay, wait == 0.0 && link_delay <= ignored_delay * service};
 }
 
 /*! @brief Returns the failure rate up to which a target is no worse than the others. A rate that all targets
@@ -103,11 +112,12 @@
             continue;
         }
         const auto estimate = estimate_response(candidate, times.expected_service_time);
-        shortest_wait = std::min(shortest_wait, estimate.wait);
+        const auto time_to_start = estimate.link_delay + estimate.wait;
+        shortest_wait = std::min(shortest_wait, time_to_start);
         const auto limit = candidate.same_data_centre
                                ? deadline_left
                                : std::min(deadline_left, seconds(times.objective_left));
-        if (estimate.wait > 0.0 && estimate.wait + estimate.service / 2 > limit) {
+        if (!estimate.is_free && time_to_start + estimate.service / 2 > limit) {
             continue;
         }
         // The more free slots a target has now, the more likely one is still free on arrival.
@@ -117,8 +127,7 @@
             (estimate.wait > 0.0 || utilisation > max_utilisation_for_large)) {
             continue;
         }
-        const auto is_first_use =
-            candidate.untried && estimate.wait == 0.0 && candidate.cold_left.count() <= 0;
+        const auto is_first_use = candidate.untried && estimate.is_free && candidate.cold_left.count() <= 0;
         if (is_first_use) {
             return {index, microseconds{0}};
         }
@@ -128,7 +137,8 @@
                 : objective * (candidate.same_data_centre ? settings.other_node : settings.other_data_centre);
         const auto cost =
             (estimate.wait + estimate.service * (1.0 + utilisation_weight * utilisation)) * noise(rng) +
-            distance + objective * failure_weight * std::max(0.0, candidate.failure_rate - normal_rate);
+            std::max(estimate.link_delay, seconds(candidate.expected_link_delay)) + distance +
+            objective * failure_weight * std::max(0.0, candidate.failure_rate - normal_rate);
         if (cost < best_cost) {
             best_cost = cost;
             best.candidate = index;
--- a/tests/gateway/peers.cpp
+++ b/tests/gateway/peers.cpp
@@ -198,5 +198,74 @@
     EXPECT_LE(dialled, 5U);
 }
 
+TEST_F(node_with_raw_peer, pong_reports_the_requests_that_arrived_before_the_ping)
+{
+    // The first request is cancelled in the same read and isn't started, but it has left the link.
+    std::string bytes{};
+    append_frame(hello(), bytes);
+    append_frame(run(1), bytes);
+    hop::Frame cancel{};
+    cancel.mutable_cancel()->set_id(1);
+    append_frame(cancel, bytes);
+    append_frame(run(2), bytes);
+    hop::Frame ping{};
+    ping.mutable_ping()->set_number(1);
+    append_frame(ping, bytes);
+    append_frame(run(3), bytes);
+    boost::asio::write(this->raw, boost::asio::buffer(bytes));
+    std::string received{};
+    std::size_t offset{};
+    hop::Frame frame{};
+    EXPECT_TRUE(this->world.run_until([&] {
+        while (this->raw.available() > 0) {
+            std::array<char, 4'096> chunk{};
+            received.append(chunk.data(), this->raw.read_some(boost::asio::buffer(chunk)));
+        }
+        while (!frame.has_pong() && read_frame(received, offset, frame) == frame_status::complete) {}
+        return frame.has_pong();
+    }));
+    EXPECT_TRUE(frame.pong().has_runs_received());
+    EXPECT_EQ(frame.pong().runs_received(), 2U);
+}
+
+TEST_F(node_with_raw_peer, unanswered_ping_and_request_in_transit_show_in_the_member)
+{
+    boost::asio::ip::tcp::acceptor acceptor{this->world.loop.context(),
+                                            {boost::asio::ip::make_address_v4("127.0.0.1"), 0}};
+    boost::asio::ip::tcp::socket slow{this->world.loop.context()};
+    member_record record{};
+    record.node = "slow";
+    record.ip = "127.0.0.1";
+    record.port = acceptor.local_endpoint().port();
+    const auto write = [&](const hop::Frame& frame) {
+        std::string bytes{};
+        append_frame(frame, bytes);
+        boost::asio::write(slow, boost::asio::buffer(bytes));
+    };
+    acceptor.async_accept(slow, [&](const boost::system::error_code& error) {
+        if (!error) {
+            hop::Frame greeting{};
+            encode(record, *greeting.mutable_hello()->mutable_self());
+            write(greeting);
+        }
+    });
+    this->links.on_member(record);
+    const auto known = [&]() -> member& { return *this->links.members().find("slow"); };
+    EXPECT_TRUE(this->world.run_until([&] { return known().reachable; }));
+    EXPECT_NE(this->links.run("slow", make_target_request("r1"), [](const attempt_result&) {}), 0U);
+    EXPECT_TRUE(this->world.run_until([&] { return known().delay.at(boot_now()) > milliseconds{300}; }));
+    hop::Frame pong{};
+    pong.mutable_pong()->mutable_load()->set_slots(5);
+    pong.mutable_pong()->set_runs_received(0);
+    write(pong);
+    EXPECT_TRUE(this->world.run_until([&] { return known().record.load.slots == 5U; }));
+    EXPECT_EQ(known().sent_since_load(), 1U);
+    pong.mutable_pong()->mutable_load()->set_slots(6);
+    pong.mutable_pong()->set_runs_received(1);
+    write(pong);
+    EXPECT_TRUE(this->world.run_until([&] { return known().record.load.slots == 6U; }));
+    EXPECT_EQ(known().sent_since_load(), 0U);
+}
+
 } // namespace
 } // namespace kumquatdrift
--- a/tests/mesh/members.cpp
+++ b/tests/mesh/members.cpp
@@ -67,18 +67,58 @@
     auto record = record_of(1'000, 1);
     record.cold_left = milliseconds{800};
     (void)this->table.merge(record, member_table::origin::link, now);
-    this->table.update_load("belem-1", {}, now + milliseconds{700});
+    this->table.update_load("belem-1", {}, 0, now + milliseconds{700});
     EXPECT_EQ(this->table.find("belem-1")->cold_until, now + milliseconds{800});
 }
 
-TEST_F(members, load_resets_count_of_requests_since_latest_load)
+TEST_F(members, load_that_includes_all_sent_requests_resets_their_count)
 {
     (void)this->table.merge(record_of(1'000, 1), member_table::origin::link, now);
-    this->table.find("belem-1")->sent_since_load = 4;
-    this->table.update_load("belem-1", {2, 0, 8, milliseconds{50}}, now);
-    EXPECT_EQ(this->table.find("belem-1")->sent_since_load, 0U);
+    this->table.find("belem-1")->requests_sent = 4;
+    EXPECT_EQ(this->table.find("belem-1")->sent_since_load(), 4U);
+    this->table.update_load("belem-1", {2, 0, 8, milliseconds{50}}, 4, now);
+    EXPECT_EQ(this->table.find("belem-1")->sent_since_load(), 0U);
     EXPECT_EQ(this->table.find("belem-1")->record.load.running, 2U);
 }
 
+// Guards against a target that looks free because requests in transit on a congested link are forgotten.
+TEST_F(members, load_measured_before_requests_arrived_keeps_them_counted)
+{
+    (void)this->table.merge(record_of(1'000, 1), member_table::origin::link, now);
+    this->table.find("belem-1")->requests_sent = 7;
+    this->table.update_load("belem-1", {2, 0, 8, milliseconds{50}}, 3, now);
+    EXPECT_EQ(this->table.find("belem-1")->sent_since_load(), 4U);
+    this->table.find("belem-1")->requests_sent = 8;
+    EXPECT_EQ(this->table.find("belem-1")->sent_since_load(), 5U);
+}
+
+TEST_F(members, record_with_a_load_keeps_requests_in_transit_counted)
+{
+    (void)this->table.merge(record_of(1'000, 1), member_table::origin::link, now);
+    this->table.find("belem-1")->requests_sent = 5;
+    (void)this->table.merge(record_of(1'000, 2), member_table::origin::link, now);
+    EXPECT_EQ(this->table.find("belem-1")->sent_since_load(), 5U);
+}
+
+TEST_F(members, load_from_an_older_version_resets_count_of_sent_requests)
+{
+    (void)this->table.merge(record_of(1'000, 1), member_table::origin::link, now);
+    this->table.find("belem-1")->requests_sent = 5;
+    this->table.update_load("belem-1", {}, std::nullopt, now);
+    EXPECT_EQ(this->table.find("belem-1")->sent_since_load(), 0U);
+}
+
+TEST_F(members, closed_link_resets_count_of_sent_requests)
+{
+    (void)this->table.merge(record_of(1'000, 1), member_table::origin::link, now);
+    auto& known = *this->table.find("belem-1");
+    known.requests_sent = 5;
+    this->table.update_load("belem-1", {}, 2, now);
+    known.on_link_closed();
+    EXPECT_EQ(known.sent_since_load(), 0U);
+    known.requests_sent = 1;
+    EXPECT_EQ(known.sent_since_load(), 1U);
+}
+
 } // namespace
 } // namespace kumquatdrift
--- a/tests/traffic/placement.cpp
+++ b/tests/traffic/placement.cpp
@@ -189,6 +189,80 @@
     EXPECT_GT(sent[1], 400);
 }
 
+TEST_F(placing, target_behind_a_congested_link_is_avoided)
+{
+    auto congested = target_of(0, false, true);
+    congested.link_delay = milliseconds{100};
+    for (int turn = 0; turn < 100; ++turn) {
+        EXPECT_EQ(this->place({congested, target_of(3, false, true)}).candidate, 1U);
+    }
+}
+
+TEST_F(placing, delay_below_the_distance_does_not_move_a_request_to_another_data_centre)
+{
+    // The distance to another data centre costs 240 ms.
+    auto congested = target_of(0, false, true);
+    congested.link_delay = milliseconds{100};
+    EXPECT_EQ(this->place({congested, target_of(0, false, false)}).candidate, 0U);
+}
+
+TEST_F(placing, least_congested_link_is_chosen_when_all_are_congested)
+{
+    auto first = target_of(0, false, true);
+    first.link_delay = milliseconds{300};
+    auto second = first;
+    second.link_delay = milliseconds{200};
+    for (int turn = 0; turn < 100; ++turn) {
+        EXPECT_EQ(this->place({first, second}).candidate, 1U);
+    }
+}
+
+TEST_F(placing, target_whose_link_delays_a_request_beyond_its_deadline_is_not_chosen)
+{
+    auto congested = target_of(0, false, true);
+    congested.link_delay = milliseconds{360};
+    const auto chosen = this->place({congested});
+    EXPECT_FALSE(chosen.candidate);
+    EXPECT_EQ(chosen.time_to_free_slot, milliseconds{360});
+    EXPECT_TRUE(this->place({congested}, milliseconds{800}).candidate);
+}
+
+TEST_F(placing, delay_of_the_link_and_the_queue_together_exceed_the_deadline)
+{
+    auto busy = target_of(10, false, true);
+    busy.load.queued = 19;
+    EXPECT_TRUE(this->place({busy}).candidate);
+    busy.link_delay = milliseconds{200};
+    EXPECT_FALSE(this->place({busy}).candidate);
+}
+
+TEST_F(placing, small_delay_does_not_reject_a_late_request_at_a_free_target)
+{
+    const placement_times late{milliseconds{400}, milliseconds{-100}, milliseconds{900}};
+    auto distant = target_of(3, false, false);
+    distant.link_delay = milliseconds{10};
+    EXPECT_TRUE(place_request(std::vector{distant}, late, this->settings, this->rng).candidate);
+}
+
+TEST_F(placing, untried_target_behind_a_congested_link_gets_no_first_request)
+{
+    auto candidate = target_of(0, false, false);
+    candidate.untried = true;
+    candidate.link_delay = milliseconds{100};
+    EXPECT_EQ(this->place({target_of(0, true, true), candidate}).candidate, 0U);
+}
+
+TEST_F(placing, delay_expected_from_requests_in_transit_adds_to_the_cost_and_rejects_nothing)
+{
+    auto loaded = target_of(0, false, true);
+    loaded.expected_link_delay = milliseconds{100};
+    for (int turn = 0; turn < 100; ++turn) {
+        EXPECT_EQ(this->place({loaded, target_of(3, false, true)}).candidate, 1U);
+    }
+    loaded.expected_link_delay = milliseconds{5'000};
+    EXPECT_TRUE(this->place({loaded}).candidate);
+}
+
 TEST_F(placing, retry_after_of_rejected_callers_is_spread)
 {
     milliseconds lowest{10'000};
