--- a/include/kumquatdrift/mesh/fwd.hpp
+++ b/include/kumquatdrift/mesh/fwd.hpp
@@ -20,6 +20,7 @@
 struct member_record;
 class member_table;
 class link_delay;
+struct config_fetch;
 
 } // namespace kumquatdrift
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -38,8 +38,13 @@
 constexpr microseconds linger_after_listening{100'000};
 /*! @brief Interval at which the settings file is checked for changes. */
 constexpr microseconds settings_check_interval{1'000'000};
+/*! @brief Interval at which it is checked whether this node is to follow the store. */
+constexpr microseconds store_check_interval{500'000};
 /*! @brief Time after the start before the health of a target that has not reported is checked. */
 constexpr microseconds first_report_timeout{150'000};
+/*! @brief Time after the first configuration after which a node calls itself ready although it is not linked
+ * to most of the nodes that it knows. */
+constexpr microseconds max_connect_time{2'000'000};
 constexpr std::size_t bytes_per_mb = 1'048'576;
 /*! @brief Request bodies may occupy the memory limit divided by this number: each body is held twice while
  * the request is forwarded, and responses and the process need the rest. */
@@ -68,7 +73,7 @@
                        this->settings.node,
                        this->settings.report_interval,
                        [this] { this->broadcast_state(); }},
-          peer_nodes{{this->loop, this->log, this->local_target, this->quarantine, this->rng},
+          peer_nodes{{this->loop, this->log, this->local_target, this->quarantine, this->rng, this->metrics},
                      [this] { return this->make_record(); },
                      [this](std::uint32_t version, const std::string& document) {
                          this->on_peer_config(version, document);
@@ -127,6 +132,7 @@
                         this->started_ms, this->settings.callers_address, this->settings.peers_address);
         this->platform->watch(
             {[this](mesh_config_ptr newer) { this->apply_config(std::move(newer), "store"); },
+             [this](bool available) { this->on_store_access(available); },
              [this](const member_record& record) { this->peer_nodes.on_member(record); },
              [this](bool normal, const std::string& event, const std::string& fields) {
                  this->log.write(normal ? log_level::info : log_level::warn, event_class::state, "platform",
@@ -164,6 +170,7 @@
         own.cold_left = report.cold_left;
         own.leaving = this->stopping_since.has_value();
         own.config_version = this->config ? this->config->version : 0;
+        own.store_lost = this->store_lost;
         own.load = this->local_target.load();
         return own;
     }
@@ -186,13 +193,20 @@
                             "version={} current={} source={}", newer->version, current, source);
             return;
         }
+        if (!this->config) {
+            this->config_since = boot_now();
+        }
         this->config = std::move(newer);
         this->router.set_routes(std::make_shared<const route_index>(this->config));
         this->peer_nodes.set_config(this->config);
         this->log.write(log_level::info, event_class::state, "config", "config_in_force",
                         "version={} before={} source={} routes={} services={}", this->config->version,
                         current, source, this->config->routes.size(), this->config->services.size());
-        this->broadcast_state();
+        // Other nodes learn the version with the next ping. Only those that follow the store tell them at
+        // once: otherwise the number of messages grew with the square of the number of nodes.
+        if (this->follows_store) {
+            this->broadcast_state();
+        }
         this->check_target_health();
     }
 
@@ -236,19 +250,32 @@
 
     void on_readiness_check(const http_exchange_ptr& exchange)
     {
-        const auto ready = this->config && !this->stopping_since;
+        const auto ready = this->is_ready(boot_now());
         if (!this->platform->is_ready_check(exchange->request)) {
             exchange->respond({404, "", "", ""});
             return;
         }
         if (std::exchange(this->last_readiness, ready) != ready) {
             this->log.write(log_level::info, event_class::state, "gateway", ready ? "ready" : "not_ready",
-                            "config={} stopping={}", this->config ? this->config->version : 0,
-                            this->stopping_since.has_value());
+                            "config={} newest_known={} reachable={} known={} stopping={}",
+                            this->config ? this->config->version : 0,
+                            this->peer_nodes.newer_config().newest_known, this->peer_nodes.reachable_count(),
+                            this->peer_nodes.members().all().size(), this->stopping_since.has_value());
         }
         exchange->respond({ready ? 200U : 503U, "", "", ""});
     }
 
+    [[nodiscard]] bool is_ready(timestamp now)
+    {
+        if (!this->config || this->stopping_since || !is_current(this->peer_nodes.newer_config(), now)) {
+            return false;
+        }
+        // Links that break later don't matter: callers on this host have no better node to go to.
+        this->connected = this->connected || now - this->config_since > max_connect_time ||
+                          2 * this->peer_nodes.reachable_count() > this->peer_nodes.members().all().size();
+        return this->connected;
+    }
+
     void wait_for_signal()
     {
         this->signals.async_wait([this](const boost::system::error_code& error, int number) {
@@ -330,9 +357,41 @@
         if (this->stopping_since) {
             this->continue_shutdown(now);
         }
+        this->check_store(now);
         this->log.flush();
     }
 
+    void on_store_access(bool available)
+    {
+        const auto lost = this->follows_store && !available;
+        if (std::exchange(this->store_lost, lost) != lost) {
+            this->broadcast_state();
+        }
+    }
+
+    void check_store(timestamp now)
+    {
+        if (this->next_store_check <= now) {
+            this->next_store_check = now + store_check_interval;
+            const auto follow = this->peer_nodes.follows_store(now);
+            if (std::exchange(this->follows_store, follow) != follow) {
+                this->log.write(log_level::info, event_class::state, "config", "store_followed", "follows={}",
+                                follow);
+                this->platform->follow_config(follow);
+                // What is known of the store becomes outdated once it is no longer followed.
+                if (!follow && std::exchange(this->store_lost, false)) {
+                    this->broadcast_state();
+                }
+            }
+        }
+        if (!this->follows_store && this->peer_nodes.take_store_read(now)) {
+            this->log.write(log_level::info, event_class::state, "config", "store_read",
+                            "version={} newest_known={}", this->config ? this->config->version : 0,
+                            this->peer_nodes.newer_config().newest_known);
+            this->platform->read_config();
+        }
+    }
+
     void continue_shutdown(timestamp now)
     {
         const auto stopping_for = now - *this->stopping_since;
@@ -379,8 +438,16 @@
     std::optional<timestamp> listening_ended{};
     std::optional<std::filesystem::file_time_type> settings_modified{};
     timestamp next_settings_check{};
+    timestamp next_store_check{};
+    bool follows_store{true};
+    /*! @brief True if this node follows the store and cannot read it. */
+    bool store_lost{};
     bool health_requested{};
     bool last_readiness{};
+    /*! @brief Time at which this node got its first configuration. */
+    timestamp config_since{};
+    /*! @brief True once this node has been linked to most other nodes. */
+    bool connected{};
 };
 
 } // namespace
--- a/src/gateway/socket_stream.cpp
+++ b/src/gateway/socket_stream.cpp
@@ -4,7 +4,9 @@
 #include <charconv>
 #include <utility>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/buffer.hpp>
@@ -204,6 +206,19 @@
     }
 }
 
+void socket_stream::limit_socket_queue(int bytes)
+{
+    error_code ignored{};
+    this->socket.set_option(integer_option<IPPROTO_TCP, TCP_NOTSENT_LOWAT>{bytes}, ignored);
+}
+
+std::size_t socket_stream::unacknowledged()
+{
+    int bytes{};
+    const auto known = this->open && ::ioctl(this->socket.native_handle(), SIOCOUTQ, &bytes) == 0;
+    return known ? static_cast<std::size_t>(bytes) : 0;
+}
+
 void socket_stream::start_write()
 {
     if (this->writing || !this->open) {
@@ -229,6 +244,11 @@
         else if (self->closing) {
             self->close();
         }
+        else if (self->drained_callback) {
+            // Copied, because the callback may close the stream, which clears `drained_callback`.
+            const auto callback = self->drained_callback;
+            callback();
+        }
     });
 }
 
@@ -251,6 +271,7 @@
     this->open = false;
     this->on_data = {};
     this->on_closed = {};
+    this->drained_callback = {};
     error_code ignored{};
     this->socket.close(ignored);
 }
