--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -40,6 +40,7 @@
     }
     const auto is_request_dropped =
         frame.has_cancel() && drop_frame(this->queue, hop::Frame::kRun, frame.cancel().id());
+    this->runs_dropped += is_request_dropped ? 1 : 0;
     if (!is_request_dropped) {
         count_frame(this->metrics.sent, frame.kind_case(), push_frame(this->queue, frame));
     }
@@ -135,6 +136,7 @@
     for (auto& frame : frames) {
         const auto callback = this->on_frame;
         const auto delay = this->queueing_delay(frame.sent_us(), this->last_received_at);
+        self->runs_received += frame.has_run() ? 1 : 0;
         // A request isn't started if it was delayed in transit for so long that its cancellation has arrived
         // too.
         const auto is_cancelled = frame.has_run() && cancelled_ids.contains(frame.run().id());
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -106,6 +106,11 @@
     timestamp ping_sent_at{};
     /*! @brief Requests received on this link and not completed: the other node's id to the local id. */
     std::unordered_map<std::uint64_t, std::uint64_t> inbound_requests{};
+    /*! @brief Number of requests that have arrived on this link, including those that were not started. */
+    std::uint64_t runs_received{};
+    /*! @brief Number of requests that were dropped before they were sent entirely, so that they never arrive.
+     */
+    std::uint64_t runs_dropped{};
     /*! @brief Callbacks of the requests sent on this link and not completed, by id. */
     std::unordered_map<std::uint64_t, attempt_callback> outbound_requests{};
 
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -1,6 +1,7 @@
 #include "peers.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -39,6 +40,13 @@
 /*! @brief Interval at which advisories about requests that crash targets are sent. */
 constexpr microseconds advisory_interval{200'000};
 
+/*! @brief Returns the number of requests that a pong or an answer reports as received on its link. */
+template<typename message_type>
+std::optional<std::uint64_t> runs_received(const message_type& message)
+{
+    return message.has_runs_received() ? std::optional{message.runs_received()} : std::nullopt;
+}
+
 } // namespace
 
 peers::peers(const dependencies& common, std::function<member_record()> own,
@@ -189,6 +197,7 @@
         pong.mutable_pong()->set_number(frame.ping().number());
         pong.mutable_pong()->set_config_version(this->configs.version());
         encode(this->shared.host.load(), *pong.mutable_pong()->mutable_load());
+        pong.mutable_pong()->set_runs_received(link->runs_received);
         link->send(pong);
         break;
     }
@@ -196,7 +205,11 @@
         if (const auto sent = std::exchange(link->ping_sent_at, {}); sent != timestamp{}) {
             this->metrics.ping_seconds->observe(std::chrono::duration<double>{boot_now() - sent}.count());
         }
-        this->table.update_load(link->node, decode(frame.pong().load()), boot_now());
+        if (auto* known = this->table.find(link->node)) {
+            known->delay.on_pong(boot_now());
+        }
+        this->table.update_load(link->node, decode(frame.pong().load()), runs_received(frame.pong()),
+                                boot_now());
         this->on_peer_version(link->node, frame.pong().config_version());
         break;
     case hop::Frame::kAdvisory:
@@ -258,6 +271,7 @@
             hop::Frame frame{};
             encode(result, *frame.mutable_answer());
             frame.mutable_answer()->set_id(id);
+            frame.mutable_answer()->set_runs_received(origin->runs_received);
             origin->send(frame);
         }
     };
@@ -293,7 +307,7 @@
     }
     auto result = decode(message);
     if (message.has_load()) {
-        this->table.update_load(link->node, result.load, boot_now());
+        this->table.update_load(link->node, result.load, runs_received(message), boot_now());
     }
     done(std::move(result));
 }
@@ -314,6 +328,7 @@
         if (auto* known = this->table.find(link->node)) {
             known->in_flight -=
                 std::min(known->in_flight, static_cast<std::uint32_t>(link->outbound_requests.size()));
+            known->on_link_closed();
         }
     }
     for (auto& [id, done] : std::exchange(link->outbound_requests, {})) {
@@ -392,7 +407,7 @@
     link->send(frame);
     link->outbound_requests.emplace(id, std::move(done));
     ++known->in_flight;
-    ++known->sent_since_load;
+    ++known->requests_sent;
     known->request_sent = true;
     return id;
 }
@@ -404,12 +419,14 @@
         found->second.link->outbound_requests.erase(id) == 0) {
         return;
     }
-    if (auto* known = this->table.find(node)) {
-        known->in_flight -= std::min(known->in_flight, 1U);
-    }
+    const auto dropped_before = found->second.link->runs_dropped;
     hop::Frame frame{};
     frame.mutable_cancel()->set_id(id);
     found->second.link->send(frame);
+    if (auto* known = this->table.find(node)) {
+        known->in_flight -= std::min(known->in_flight, 1U);
+        known->requests_sent -= found->second.link->runs_dropped - dropped_before;
+    }
 }
 
 void peers::set_reachable(const std::string& node, bool reachable, const std::string& cause)
@@ -469,6 +486,9 @@
     if (now - peer.last_ping >= interval && link->ping_sent_at == timestamp{}) {
         peer.last_ping = now;
         link->ping_sent_at = now;
+        if (auto* known = this->table.find(node)) {
+            known->delay.on_ping(now, known->sent_since_load());
+        }
         hop::Frame frame{};
         frame.mutable_ping()->set_number(static_cast<std::uint64_t>(now.time_since_epoch().count()));
         frame.mutable_ping()->set_config_version(this->configs.version());
