--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -35,18 +35,9 @@
 /*! @brief Time after a reply for which no node is asked for all known nodes again; changes arrive sooner from
  *         the store. */
 constexpr microseconds members_query_interval{5'000'000};
-/*! @brief Queueing delay above which a request is logged; many times the latency between data centres. */
-constexpr microseconds logged_queueing_delay{100'000};
 /*! @brief Interval at which advisories about requests that crash targets are sent. */
 constexpr microseconds advisory_interval{200'000};
 
-/*! @brief Returns the number of requests that a pong or an answer reports as received on its link. */
-template<typename message_type>
-std::optional<std::uint64_t> runs_received(const message_type& message)
-{
-    return message.has_runs_received() ? std::optional{message.runs_received()} : std::nullopt;
-}
-
 } // namespace
 
 peers::peers(const dependencies& common, std::function<member_record()> own,
@@ -208,7 +199,9 @@
         if (auto* known = this->table.find(link->node)) {
             known->delay.on_pong(boot_now());
         }
-        this->table.update_load(link->node, decode(frame.pong().load()), runs_received(frame.pong()),
+        this->table.update_load(link->node, decode(frame.pong().load()),
+                                frame.pong().has_runs_received() ? std::optional{frame.pong().runs_received()}
+                                                                 : std::nullopt,
                                 boot_now());
         this->on_peer_version(link->node, frame.pong().config_version());
         break;
@@ -262,56 +255,6 @@
     }
 }
 
-void peers::on_run(const peer_link::pointer& link, hop::Run& message, microseconds queueing_delay)
-{
-    const auto id = message.id();
-    const auto respond = [link = std::weak_ptr<peer_link>{link}, id](attempt_result result) {
-        const auto origin = link.lock();
-        if (origin && origin->inbound_requests.erase(id) != 0) {
-            hop::Frame frame{};
-            encode(result, *frame.mutable_answer());
-            frame.mutable_answer()->set_id(id);
-            frame.mutable_answer()->set_runs_received(origin->runs_received);
-            origin->send(frame);
-        }
-    };
-    if (!this->serving) {
-        link->inbound_requests.emplace(id, 0);
-        attempt_result result{};
-        result.outcome = attempt_outcome::refused;
-        result.cause = "node_stops";
-        respond(std::move(result));
-        return;
-    }
-    // The remaining times in the frame are relative to its send time, so the queueing delay is subtracted.
-    if (queueing_delay > logged_queueing_delay) {
-        this->shared.log.write(
-            log_level::info, event_class::failed_request, "peers", "request_held_up",
-            "id={} node={} queueing_delay_ms={} remaining_ms={}", log_value(message.attempt()), link->node,
-            std::chrono::duration_cast<milliseconds>(queueing_delay).count(), message.time_left_ms());
-    }
-    link->inbound_requests.emplace(
-        id, this->shared.host.run(decode(message, boot_now() - queueing_delay), respond));
-}
-
-void peers::on_response(const peer_link::pointer& link, hop::Answer& message)
-{
-    const auto found = link->outbound_requests.find(message.id());
-    if (found == link->outbound_requests.end()) {
-        return;
-    }
-    const auto done = std::move(found->second);
-    link->outbound_requests.erase(found);
-    if (auto* known = this->table.find(link->node)) {
-        known->in_flight -= std::min(known->in_flight, 1U);
-    }
-    auto result = decode(message);
-    if (message.has_load()) {
-        this->table.update_load(link->node, result.load, runs_received(message), boot_now());
-    }
-    done(std::move(result));
-}
-
 void peers::on_closed(const peer_link::pointer& link, const std::string& cause)
 {
     for (const auto& [peer_id, local_id] : std::exchange(link->inbound_requests, {})) {
@@ -391,44 +334,6 @@
     return true;
 }
 
-std::uint64_t peers::run(std::string_view node, const target_request_ptr& request, attempt_callback done)
-{
-    const auto found = this->outbound_links.find(node);
-    auto* known = this->table.find(node);
-    if (found == this->outbound_links.end() || known == nullptr || !known->reachable || !found->second.link ||
-        found->second.link->is_congested()) {
-        return 0;
-    }
-    const auto& link = found->second.link;
-    const auto id = ++this->last_id;
-    hop::Frame frame{};
-    encode(*request, boot_now(), *frame.mutable_run());
-    frame.mutable_run()->set_id(id);
-    link->send(frame);
-    link->outbound_requests.emplace(id, std::move(done));
-    ++known->in_flight;
-    ++known->requests_sent;
-    known->request_sent = true;
-    return id;
-}
-
-void peers::cancel(std::string_view node, std::uint64_t id)
-{
-    const auto found = this->outbound_links.find(node);
-    if (found == this->outbound_links.end() || !found->second.link ||
-        found->second.link->outbound_requests.erase(id) == 0) {
-        return;
-    }
-    const auto dropped_before = found->second.link->runs_dropped;
-    hop::Frame frame{};
-    frame.mutable_cancel()->set_id(id);
-    found->second.link->send(frame);
-    if (auto* known = this->table.find(node)) {
-        known->in_flight -= std::min(known->in_flight, 1U);
-        known->requests_sent -= found->second.link->runs_dropped - dropped_before;
-    }
-}
-
 void peers::set_reachable(const std::string& node, bool reachable, const std::string& cause)
 {
     auto* known = this->table.find(node);
