Refuse a request that was delayed for longer than it has left

Cause: the cancellation follows the request on the same link and takes as long, so that the node of the target learns that the caller has left when the request is long under way at the target. Change: a request that spent more time on the way than it has left is refused. It has not run, and the entry node may still send it to another target. Test: node_with_raw_peer.request_that_was_delayed_for_longer_than_it_has_left_is_refused failed before (2 requests at the target instead of 1) and passes.

--- a/src/gateway/peer_requests.cpp
+++ b/src/gateway/peer_requests.cpp
@@ -29,12 +29,15 @@
             origin->send(frame);
         }
     };
-    if (!this->serving) {
+    const auto refuse = [&](const std::string& cause) {
         link->inbound_requests.emplace(id, 0);
         attempt_result result{};
         result.outcome = attempt_outcome::refused;
-        result.cause = "node_stops";
+        result.cause = cause;
         respond(std::move(result));
+    };
+    if (!this->serving) {
+        refuse("node_stops");
         return;
     }
     // The remaining times in the frame are relative to its send time, so the queueing delay is subtracted.
@@ -44,6 +47,11 @@
             "id={} node={} queueing_delay_ms={} remaining_ms={}", log_value(message.attempt()), link->node,
             std::chrono::duration_cast<milliseconds>(queueing_delay).count(), message.time_left_ms());
     }
+    // A cancellation takes as long as the request did, so the caller may have left before that time is over.
+    if (milliseconds{message.time_left_ms()} < 2 * queueing_delay) {
+        refuse("held_up");
+        return;
+    }
     link->inbound_requests.emplace(
         id, this->shared.host.run(decode(message, boot_now() - queueing_delay), respond));
 }
--- a/tests/gateway/peers.cpp
+++ b/tests/gateway/peers.cpp
@@ -101,6 +101,33 @@
     EXPECT_EQ(*find_field(this->target.requests.front()->request.fields, "X-Id"), "r2");
 }
 
+// Guards against requests that are started long after their callers have left (GONE).
+TEST_F(node_with_raw_peer, request_that_was_delayed_for_longer_than_it_has_left_is_refused)
+{
+    this->send(hello(), milliseconds{0});
+    // The deadline is 1 s after the send time.
+    this->send(run(1), milliseconds{600});
+    this->send(run(2), milliseconds{300});
+    EXPECT_TRUE(this->world.run_until([this] { return !this->target.requests.empty(); }));
+    this->world.run_for(milliseconds{50});
+    ASSERT_EQ(this->target.requests.size(), 1U);
+    EXPECT_EQ(*find_field(this->target.requests.front()->request.fields, "X-Id"), "r2");
+    std::string received{};
+    std::size_t offset{};
+    hop::Frame frame{};
+    EXPECT_TRUE(this->world.run_until([&] {
+        while (this->raw.available() > 0) {
+            std::array<char, 4'096> chunk{};
+            received.append(chunk.data(), this->raw.read_some(boost::asio::buffer(chunk)));
+        }
+        while (!frame.has_answer() && read_frame(received, offset, frame) == frame_status::complete) {}
+        return frame.has_answer();
+    }));
+    EXPECT_EQ(frame.answer().id(), 1U);
+    EXPECT_EQ(frame.answer().end(), static_cast<std::uint32_t>(attempt_outcome::refused));
+    EXPECT_EQ(frame.answer().cause(), "held_up");
+}
+
 TEST_F(node_with_raw_peer, known_nodes_are_sent_only_when_asked_for)
 {
     const auto receive = [this] {
