--- a/tests/gateway/peers.cpp
+++ b/tests/gateway/peers.cpp
@@ -253,6 +253,7 @@
         if (!error) {
             hop::Frame greeting{};
             encode(record, *greeting.mutable_hello()->mutable_self());
+            greeting.mutable_hello()->set_accepts_parts(true);
             write(greeting);
         }
     });
@@ -272,6 +273,16 @@
     write(pong);
     EXPECT_TRUE(this->world.run_until([&] { return known().record.load.slots == 6U; }));
     EXPECT_EQ(known().sent_since_load(), 0U);
+
+    // The peer reads nothing, so the rest of a large request stays in the queue and is dropped when
+    // cancelled.
+    auto large = std::make_shared<target_request>(*make_target_request("large"));
+    large->body = std::string(30'000'000, 'b');
+    const auto id = this->links.run("slow", large, [](const attempt_result&) {});
+    EXPECT_EQ(known().sent_since_load(), 1U);
+    this->world.run_for(milliseconds{50});
+    this->links.cancel("slow", id);
+    EXPECT_EQ(known().sent_since_load(), 0U);
 }
 
 TEST_F(node_with_raw_peer, log_line_of_an_unreachable_node_has_unsent_bytes_and_age_of_the_ping)
