--- a/scripts/lib/bench.py
+++ b/scripts/lib/bench.py
@@ -2,17 +2,16 @@
 
 import argparse
 import json
-import os
 import pathlib
 import re
 import statistics
 import subprocess
 import time
 
-from mesh import BIN, ROOT, Mesh, load_json, make_fleet, request, wait_until
+from gateway_fleet import BINARY, measure_gateway_fleets
+from mesh import (BIN, ROOT, TICKS_PER_S, Mesh, cpu_seconds, load_json, make_fleet, request, resident_mb,
+                  wait_until)
 
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
-PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 RESULTS = BIN.parent / "bench" / "results.json"
 
 BASE = {
@@ -55,17 +54,6 @@
     return ordered[min(len(ordered) - 1, int(fraction * len(ordered)))]
 
 
-def cpu_seconds(process):
-    """Returns the user and system time of a process."""
-    fields = pathlib.Path(f"/proc/{process.pid}/stat").read_text().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
-
-
-def resident_mb(process):
-    """Returns the resident set size of a process."""
-    return int(pathlib.Path(f"/proc/{process.pid}/statm").read_text().split()[1]) * PAGE_BYTES / 1e6
-
-
 def control_bytes(mesh, node):
     """Returns the control bytes that a node has sent and received since its start, by metric."""
     text = request("GET", mesh.address(node, "admin"), "/metrics")[2].decode()
@@ -385,13 +373,14 @@
     return all(member["status"] != "alive" for member in mesh.status(node)["members"] if member["node"] == killed)
 
 
-GROUPS = ("parts", "latency", "overload", "claims", "storm", "slopes", "examples", "fleets")
+GROUPS = ("parts", "latency", "overload", "claims", "storm", "slopes", "examples", "fleets", "gateway")
 
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--quick", action="store_true", help="small fleets and short runs only")
     parser.add_argument("--only", choices=GROUPS, action="append", help="measure only this group; may be repeated")
+    parser.add_argument("--gateway-baseline", type=pathlib.Path, help="gateway binary to compare with in group gateway")
     options = parser.parse_args()
     quick = options.quick
     table = Table(bool(options.only))
@@ -405,6 +394,9 @@
         "examples": lambda: measure_examples(table),
         "fleets": lambda: measure_fleets(table, [(3, 4)] if quick else [(3, 4), (3, 16), (3, 40)], 5,
                                          8 if quick else 10),
+        "gateway": lambda: measure_gateway_fleets(
+            table, [(6, 200)] if quick else [(30, 200), (30, 400), (30, 1612), (100, 1612)], BINARY,
+            options.gateway_baseline),
     }
     for name in options.only or GROUPS:
         steps[name]()
--- a/scripts/lib/mesh.py
+++ b/scripts/lib/mesh.py
@@ -14,6 +14,8 @@
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 BIN = pathlib.Path(os.environ.get("BUILD_DIR", ROOT / "build")).resolve() / "bin"
 
 
@@ -94,6 +96,17 @@
     return log_address, fleet
 
 
+def cpu_seconds(process):
+    """Returns the user and system time of a process."""
+    fields = pathlib.Path(f"/proc/{process.pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def resident_mb(process):
+    """Returns the resident set size of a process."""
+    return int(pathlib.Path(f"/proc/{process.pid}/statm").read_text().split()[1]) * PAGE_BYTES / 1e6
+
+
 class Process:
     """A child process whose output is written to a log file."""
 
