Keep a node that cannot read the store out of the followers

Cause: the flag was cleared when following ended, and keyed_topic reports a loss only at the first failure. (2) A node that doesn't follow the store and reads it because no other node has the newer version started the read again every 1.5 s, so that one that takes longer never ended. Cause: the interval was half the time limit of the read. The interval is 4 s, above the time limit of a read. No test of its own yet: the trials were by hand.

--- a/include/kumquatdrift/mesh/config_fetch.hpp
+++ b/include/kumquatdrift/mesh/config_fetch.hpp
@@ -22,8 +22,9 @@
 /*! @brief Time after which a node that hasn't got a new configuration from another node reads it from the
  * store. */
 constexpr microseconds store_read_delay{500'000};
-/*! @brief Time after which a read of the store that has brought no newer configuration is repeated. */
-constexpr microseconds store_read_timeout{1'500'000};
+/*! @brief Time after which a read of the store that has brought no newer configuration is repeated. It
+ * exceeds the time limit of a read, so that a repetition does not cancel one that is slow. */
+constexpr microseconds store_read_timeout{4'000'000};
 /*! @brief Time after the start for which a node without a configuration waits for the store before it asks
  * another node. */
 constexpr microseconds start_fetch_delay{1'000'000};
--- a/include/kumquatdrift/mesh/members.hpp
+++ b/include/kumquatdrift/mesh/members.hpp
@@ -103,7 +103,7 @@
     bool leaving{};
     /*! @brief Version of the configuration in force on the node. */
     std::uint32_t config_version{};
-    /*! @brief True if the node follows the store and cannot read it. */
+    /*! @brief True if its last read of the configuration in the store has failed. */
     bool store_lost{};
     /*! @brief Load of its target. */
     target_load load{};
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -363,7 +363,7 @@
 
     void on_store_access(bool available)
     {
-        const auto lost = this->follows_store && !available;
+        const auto lost = !available;
         if (std::exchange(this->store_lost, lost) != lost) {
             this->broadcast_state();
         }
@@ -378,10 +378,6 @@
                 this->log.write(log_level::info, event_class::state, "config", "store_followed", "follows={}",
                                 follow);
                 this->platform->follow_config(follow);
-                // What is known of the store becomes outdated once it is no longer followed.
-                if (!follow && std::exchange(this->store_lost, false)) {
-                    this->broadcast_state();
-                }
             }
         }
         if (!this->follows_store && this->peer_nodes.take_store_read(now)) {
@@ -440,7 +436,7 @@
     timestamp next_settings_check{};
     timestamp next_store_check{};
     bool follows_store{true};
-    /*! @brief True if this node follows the store and cannot read it. */
+    /*! @brief True from a failed read of the configuration in the store until one succeeds. */
     bool store_lost{};
     bool health_requested{};
     bool last_readiness{};
