--- a/tests/gateway/peers.cpp
+++ b/tests/gateway/peers.cpp
@@ -128,6 +128,24 @@
     EXPECT_EQ(frame.answer().cause(), "held_up");
 }
 
+// Guards against a congested new link on which each delay looks normal.
+TEST_F(node_with_raw_peer, delay_on_a_new_link_is_compared_with_that_of_the_link_before)
+{
+    this->send(hello(), milliseconds{0});
+    this->world.run_for(milliseconds{50});
+    const auto address = this->raw.remote_endpoint();
+    this->raw.close();
+    this->world.run_for(milliseconds{50});
+    this->raw.connect(address);
+    this->send(hello(), milliseconds{800});
+    this->send(run(1), milliseconds{800});
+    this->send(run(2), milliseconds{0});
+    EXPECT_TRUE(this->world.run_until([this] { return !this->target.requests.empty(); }));
+    this->world.run_for(milliseconds{50});
+    ASSERT_EQ(this->target.requests.size(), 1U);
+    EXPECT_EQ(*find_field(this->target.requests.front()->request.fields, "X-Id"), "r2");
+}
+
 TEST_F(node_with_raw_peer, known_nodes_are_sent_only_when_asked_for)
 {
     const auto receive = [this] {
