Start the reads of the store over when it comes back from an older copy

Cause: a reader went on from its last offset whatever the store said of its era. Once the partition had grown past that offset again, no 410 came, and the records in between were never read. A node's own record that was written in the lost seconds stayed lost.

--- a/include/kumquatdrift/gateway/platform.hpp
+++ b/include/kumquatdrift/gateway/platform.hpp
@@ -52,6 +52,10 @@
     /*! @brief Receives an event and its fields for the log, such as a record that cannot be decoded or a
      * connection to the store that failed or was restored. `normal` is false for a fault. */
     std::function<void(bool normal, const std::string& event, const std::string& fields)> on_event{};
+    /*! @brief Receives the generation of the store when it is first known and when it has risen, that is,
+     * when the store has come back from an older copy. A read for which it doesn't call `reread` starts over
+     * when its next answer arrives. */
+    std::function<void(std::uint64_t generation)> on_store_generation{};
 };
 
 /*! @brief Interface to the platform: its header names, its formats and its store. */
@@ -120,6 +124,12 @@
     /*! @brief Reads the newest configuration from the store once; retries until the store has answered. */
     virtual void read_config() = 0;
 
+    /**
+     * @brief Starts all reads of the store that are in progress over, with the newest records.
+     * @param delay Delay until they start.
+     */
+    virtual void reread(microseconds delay) = 0;
+
     /*! @brief Closes idle connections to the store and reads it again, after a suspension. */
     virtual void refresh() = 0;
 };
--- a/include/kumquatdrift/mesh/members.hpp
+++ b/include/kumquatdrift/mesh/members.hpp
@@ -106,6 +106,9 @@
     bool store_lost{};
     /*! @brief Load of its target. */
     target_load load{};
+    /*! @brief Generation of the store that the node knows; rises when the store comes back from an older
+     * copy. */
+    std::optional<std::uint64_t> store_generation{};
 };
 
 /*! @brief View that this node has of another node. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,6 +19,7 @@
 #include "http_server.hpp"
 #include "loop.hpp"
 #include "peers.hpp"
+#include "store_resets.hpp"
 #include "target_host.hpp"
 
 namespace kumquatdrift {
@@ -78,6 +79,9 @@
                      [this](std::uint32_t version, const std::string& document) {
                          this->on_peer_config(version, document);
                      }},
+          resets{{this->log, this->metrics, this->rng, *this->platform, this->peer_nodes.members(),
+                  [this] { this->platform->announce(this->make_record()); },
+                  [this] { this->broadcast_state(); }}},
           router{{this->loop, *this->platform, this->log, this->metrics, this->local_target, this->peer_nodes,
                   this->quarantine, this->settings, this->rng}},
           caller_server{this->loop, [this] { return this->limits(); },
@@ -137,7 +141,8 @@
              [this](bool normal, const std::string& event, const std::string& fields) {
                  this->log.write(normal ? log_level::info : log_level::warn, event_class::state, "platform",
                                  event, "{}", fields);
-             }});
+             },
+             [this](std::uint64_t generation) { this->resets.on_generation(generation, boot_now()); }});
         this->platform->announce(this->make_record());
         this->loop.call_at(boot_now() + first_report_timeout, [this] { this->check_target_health(); });
         this->wait_for_signal();
@@ -172,6 +177,7 @@
         own.config_version = this->config ? this->config->version : 0;
         own.store_lost = this->store_lost;
         own.load = this->local_target.load();
+        own.store_generation = this->resets.generation();
         return own;
     }
 
@@ -371,6 +377,7 @@
 
     void check_store(timestamp now)
     {
+        this->resets.on_tick(now);
         if (this->next_store_check <= now) {
             this->next_store_check = now + store_check_interval;
             const auto follow = this->peer_nodes.follows_store(now);
@@ -425,6 +432,7 @@
     std::unique_ptr<mesh_platform> platform;
     target_host local_target;
     peers peer_nodes;
+    store_resets resets;
     entry_router router;
     http_server caller_server;
     http_server report_server;
--- a/src/gateway/hop_codec.cpp
+++ b/src/gateway/hop_codec.cpp
@@ -88,6 +88,9 @@
     message.set_config_version(record.config_version);
     message.set_store_lost(record.store_lost);
     encode(record.load, *message.mutable_load());
+    if (record.store_generation) {
+        message.set_store_generation(*record.store_generation);
+    }
 }
 
 std::optional<member_record> decode(const hop::Member& message)
@@ -111,7 +114,9 @@
                          message.leaving(),
                          message.config_version(),
                          message.store_lost(),
-                         decode(message.load())};
+                         decode(message.load()),
+                         message.has_store_generation() ? std::optional{message.store_generation()}
+                                                        : std::nullopt};
 }
 
 void encode(const target_request& request, timestamp now, hop::Run& message)
--- a/tests/gateway/hop_codec.cpp
+++ b/tests/gateway/hop_codec.cpp
@@ -62,6 +62,21 @@
     EXPECT_EQ(decoded->expected_service_time, milliseconds{30});
 }
 
+TEST(hop_member, round_trip_tells_generation_zero_from_none)
+{
+    member_record record{};
+    record.node = "n";
+    record.ip = "127.0.0.1";
+    record.port = 1;
+    for (const auto generation : {std::optional<std::uint64_t>{}, std::optional<std::uint64_t>{0},
+                                  std::optional<std::uint64_t>{1ULL << 40U}}) {
+        record.store_generation = generation;
+        hop::Member message{};
+        encode(record, message);
+        EXPECT_EQ(decode(message)->store_generation, generation);
+    }
+}
+
 TEST(hop_response, round_trip_keeps_service_time_and_slowness)
 {
     attempt_result result{};
--- a/tests/support/gateway_world.hpp
+++ b/tests/support/gateway_world.hpp
@@ -54,6 +54,7 @@
     void announce(const member_record&) override {}
     void follow_config(bool) override {}
     void read_config() override {}
+    void reread(microseconds) override {}
     void refresh() override {}
 
 private:
