Keep the newest configuration while the store shows an older one

What was missing: a node that started while the store showed an older configuration called itself ready with it, and answered 404 for routes of the newer one that other nodes had. A reader whose connection broke waited for up to 25 s on its next read if no record had been lost in its partition, and learned of the new era only then. A read after a failure doesn't wait for records. Not covered: between the first answer of the store and the first record of another node, a starting node routes by the store's older version.

--- a/src/gateway/entry_router.hpp
+++ b/src/gateway/entry_router.hpp
@@ -70,6 +70,13 @@
         this->routes = std::move(index);
     }
 
+    /*! @brief Records that the routes are not older than those of other nodes. Before that, a node that
+     * starts while the store shows an older configuration rejects requests that need the newer one. */
+    void confirm_routes() noexcept
+    {
+        this->routes_confirmed = true;
+    }
+
     /**
      * @brief Handles a request of a caller.
      * @param exchange Request, and the means to respond to it.
@@ -155,6 +162,7 @@
     std::string local_instance{};
     latency_histogram& request_seconds;
     bool stopping{};
+    bool routes_confirmed{};
 };
 
 } // namespace kumquatdrift
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -273,13 +273,22 @@
 
     [[nodiscard]] bool is_ready(timestamp now)
     {
-        if (!this->config || this->stopping_since || !is_current(this->peer_nodes.newer_config(), now)) {
-            return false;
+        return this->connected && !this->stopping_since && is_current(this->peer_nodes.newer_config(), now);
+    }
+
+    void check_connected(timestamp now)
+    {
+        // Links that break later don't matter: callers on this host have no better node to go to. The store
+        // may show an older configuration than other nodes have.
+        if (this->connected || !this->config) {
+            return;
+        }
+        const auto linked = 2 * this->peer_nodes.reachable_count() > this->peer_nodes.members().all().size();
+        if ((linked && !is_behind(this->peer_nodes.newer_config())) ||
+            now - this->config_since > max_connect_time) {
+            this->connected = true;
+            this->router.confirm_routes();
         }
-        // Links that break later don't matter: callers on this host have no better node to go to.
-        this->connected = this->connected || now - this->config_since > max_connect_time ||
-                          2 * this->peer_nodes.reachable_count() > this->peer_nodes.members().all().size();
-        return this->connected;
     }
 
     void wait_for_signal()
@@ -364,6 +373,7 @@
             this->continue_shutdown(now);
         }
         this->check_store(now);
+        this->check_connected(now);
         this->log.flush();
     }
 
@@ -454,7 +464,7 @@
     bool last_readiness{};
     /*! @brief Time at which this node got its first configuration. */
     timestamp config_since{};
-    /*! @brief True once this node has been linked to most other nodes. */
+    /*! @brief True once this node has been linked to most other nodes and had the newest version of these. */
     bool connected{};
 };
 
--- a/tests/platform/keyed_topic.cpp
+++ b/tests/platform/keyed_topic.cpp
@@ -160,6 +160,18 @@
     EXPECT_EQ(this->next_target(), read_from(6));
 }
 
+TEST_F(keyed_topic_reader, read_after_a_failure_shows_the_later_era_although_no_record_is_new)
+{
+    this->subscribe();
+    this->expect_newest(era_3, 7);
+    ASSERT_EQ(this->next_target(), read_from(7));
+    this->answer(era_3, "", 503);
+    ASSERT_EQ(this->next_target(), "/log-read?topic=keyed.t&part=0&from=7&wait_ms=0");
+    this->answer(era_4, records_body(7, {}));
+    this->expect_newest(era_4, 7);
+    EXPECT_EQ(this->next_target(), read_from(7));
+}
+
 TEST_F(keyed_topic_reader, era_seen_by_another_call_invalidates_the_offset_of_a_pending_long_poll)
 {
     this->subscribe();
--- a/tests/process/gateway_standins.py
+++ b/tests/process/gateway_standins.py
@@ -50,17 +50,25 @@
 
 
 class Store:
-    """The keyed topics of the store, with the calls that the gateway uses."""
+    """The keyed topics of the store, with the calls that the gateway uses.
+
+    `go_back` makes it the copy of some seconds ago, with a higher era.
+    """
 
     def __init__(self, ip="127.0.0.1", port=0):
         self.condition = threading.Condition()
         self.topics = collections.defaultdict(list)
+        self.append_times = collections.defaultdict(list)
+        self.era = 1
         self.calls = collections.Counter()
         self.rejected_ips = set()
         self.is_down = False
         owner = self
 
         class Handler(QuietHandler):
+            def reply(self, status, body=b"", fields=()):
+                super().reply(status, body, [*fields, ("Store-Era", str(owner.era))])
+
             def reject_if_unavailable(self):
                 if owner.is_down or self.client_address[0] in owner.rejected_ips:
                     self.reply(503)
@@ -76,7 +84,11 @@
                 if url.path == "/log-newest":
                     self.reply(200, json.dumps(owner.newest(query["topic"])).encode())
                 else:
-                    self.reply(200, owner.read(query["topic"], int(query["from"]), int(query.get("wait_ms", 0))))
+                    status, body = owner.read(query["topic"], int(query["from"]), int(query.get("wait_ms", 0)))
+                    if status:
+                        self.reply(status, body)
+                    else:
+                        self.close_connection = True
 
             def do_POST(self):
                 url = urllib.parse.urlsplit(self.path)
@@ -97,11 +109,21 @@
     def append(self, topic, content):
         with self.condition:
             self.topics[topic].append(content)
+            self.append_times[topic].append(time.monotonic())
             self.condition.notify_all()
 
     def put(self, topic, key, value):
         self.append(topic, bytes([len(key)]) + key.encode() + value)
 
+    def go_back(self, seconds):
+        """Drops what was appended in the last `seconds`, raises the era and closes connections with a pending read."""
+        with self.condition:
+            self.era += 1
+            for topic, times in self.append_times.items():
+                kept = sum(when < time.monotonic() - seconds for when in times)
+                del times[kept:], self.topics[topic][kept:]
+            self.condition.notify_all()
+
     def newest(self, topic):
         with self.condition:
             items = {}
@@ -113,12 +135,18 @@
                     "has_more": False, "end": len(self.topics[topic])}
 
     def read(self, topic, start, wait_ms):
+        """Returns status and body of the response; status 0 if the connection is to be closed instead."""
         end = time.monotonic() + wait_ms / 1000
         with self.condition:
-            while len(self.topics[topic]) <= start and time.monotonic() < end:
+            era = self.era
+            if start > len(self.topics[topic]):
+                return 410, b'{"first":0}'
+            while len(self.topics[topic]) <= start and time.monotonic() < end and self.era == era:
                 self.condition.wait(end - time.monotonic())
+            if self.era != era:
+                return 0, b""
             records = self.topics[topic]
-            return struct.pack(">QQ", len(records), 0) + b"".join(
+            return 200, struct.pack(">QQ", len(records), 0) + b"".join(
                 struct.pack(">I", len(content)) + content for content in records[start:])
 
     def publish(self, version, routes, services):
--- /dev/null
+++ b/tests/process/store_reset_test.py
@@ -0,0 +1,149 @@
+"""Tests of gateway processes on loopback whose store comes back from an older copy."""
+
+import collections
+import http.client
+import os
+import pathlib
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+
+from gateway_test import CONFIG_APPLY_S, ROUTES, SERVICES, GatewayTest, Node, wait_until  # noqa: E402
+
+
+class CallerLoop:
+    """Sends requests to a node, one after the other, and keeps each status. The ids begin with `name`."""
+
+    def __init__(self, node, path, name="caller"):
+        self.statuses = []
+        self.name = name
+        self.stop = threading.Event()
+        self.thread = threading.Thread(target=self.run, args=(node, path), daemon=True)
+        self.thread.start()
+
+    def run(self, node, path):
+        while not self.stop.is_set():
+            try:
+                attempt = "%s-%s" % (self.name, os.urandom(8).hex())
+                self.statuses.append(node.call(path=path, attempt=attempt)[0])
+            except (OSError, http.client.HTTPException):
+                pass  # The node is being restarted.
+            time.sleep(0.005)
+
+    def end(self):
+        self.stop.set()
+        self.thread.join()
+        return self.statuses
+
+
+class GatewayStoreReset(GatewayTest):
+    """The store comes back from a copy of some seconds ago."""
+
+    # Version 9 adds a route, and moves another one from `desk` to `board`.
+    NEW_ROUTES = ROUTES[:2] + ROUTES[3:] + [("/papers/", "upload", "board", 2), ("/new/", "idempotent", "board", 2)]
+    LATER_ROUTES = NEW_ROUTES + [("/later/", "idempotent", "board", 2)]
+
+    def setUp(self):
+        super().setUp()
+        time.sleep(0.3)
+        self.copied = time.monotonic()
+
+    def publish_new_version(self):
+        self.store.publish(9, self.NEW_ROUTES, SERVICES)
+        for node in self.nodes:
+            wait_until(lambda: node.call(path="/new/x")[0] == 200, "new route at " + node.name, CONFIG_APPLY_S)
+
+    def go_back(self):
+        self.store.go_back(time.monotonic() - self.copied)
+
+    def call_all_nodes(self, path):
+        loops = [CallerLoop(node, path) for node in self.nodes]
+        for each in loops:
+            self.addCleanup(each.stop.set)
+        return loops
+
+    def assert_versions_rise(self, node):
+        """Checks that the log of a process, from its last start, names only rising versions."""
+        lines = node.log().rsplit("event=started", 1)[-1].splitlines()
+        versions = [int(line.split("version=")[1].split()[0]) for line in lines if "event=config_in_force" in line]
+        self.assertEqual(versions, sorted(set(versions)))
+        return versions
+
+    def test_change_below_the_offsets_of_the_readers_is_not_missed(self):
+        for number in range(6):
+            self.store.put("keyed.op", "other-%d" % number, b"{}")
+        self.publish_new_version()
+        loops = self.call_all_nodes("/new/x")
+        # The new records fill the partition beyond the offsets of the readers before these reconnect.
+        with self.store.condition:
+            self.go_back()
+            self.store.publish(9, self.NEW_ROUTES, SERVICES)
+            self.store.publish(12, self.LATER_ROUTES, SERVICES)
+            for number in range(20):
+                self.store.put("keyed.op", "other-%d" % number, b"{}")
+        returned = time.monotonic()
+        for node in self.nodes:
+            wait_until(lambda: node.call(path="/later/x")[0] == 200, "later route at " + node.name,
+                       CONFIG_APPLY_S - (time.monotonic() - returned))
+        print("in force everywhere after %.2f s" % (time.monotonic() - returned), file=sys.stderr)
+        for each in loops:
+            self.assertEqual(set(each.end()), {200})
+        for node in self.nodes:
+            # The log is written with a short delay.
+            wait_until(lambda: "event=config_in_force version=12" in node.log(), "version 12 in the log", 1)
+            self.assertEqual(self.assert_versions_rise(node), [5, 9, 12])
+            self.assertEqual(node.log().count("event=store_reset old=1 new=2 "), 1)
+
+    def test_node_that_starts_while_the_store_shows_an_older_version_takes_the_newest(self):
+        self.publish_new_version()
+        loops = self.call_all_nodes("/new/x")
+        self.go_back()
+        restarted = self.nodes[1]
+        moved = CallerLoop(restarted, "/papers/x", "moved")
+        self.addCleanup(moved.stop.set)
+        restarted.kill()
+        restarted.start()
+        wait_until(restarted.is_ready, "the restarted node is ready")
+        self.assertEqual(restarted.call(path="/new/x")[0], 200)
+        time.sleep(1)
+        self.store.publish(12, self.LATER_ROUTES, SERVICES)
+        for node in self.nodes:
+            wait_until(lambda: node.call(path="/later/x")[0] == 200, "later route at " + node.name, CONFIG_APPLY_S)
+        statuses = [set(each.end()) for each in [*loops, moved]]
+        self.assertNotIn(404, set.union(*statuses))
+        self.assertIn(200, moved.statuses)
+        for node in self.nodes:
+            self.assert_versions_rise(node)
+        # The service that version 5 names for the moved route.
+        self.assertEqual([attempt for target in self.targets[:2] for attempt, *_ in target.executions
+                          if attempt.startswith("moved-")], [])
+
+    def test_each_node_writes_its_record_again_once(self):
+        added = Node(pathlib.Path(self.nodes[0].path).parent, 4, "a", "desk", self.store.address)
+        self.addCleanup(self.stop, added)
+        added.start()
+        self.nodes.append(added)
+        wait_until(added.is_ready, "the added node is ready")
+        for era in (2, 3):
+            self.go_back()
+            kept = len(self.store.topics["keyed.nodes"])
+            calls = collections.Counter(self.store.calls)
+            returned = time.monotonic()
+            wait_until(lambda: len(self.store.topics["keyed.nodes"]) == kept + 4, "all nodes have written", 2.0)
+            print("all records written after %.2f s" % (time.monotonic() - returned), file=sys.stderr)
+            time.sleep(1.5)
+            self.assertEqual(len(self.store.topics["keyed.nodes"]), kept + 4)
+            self.assertEqual({item["key"] for item in self.store.newest("keyed.nodes")["items"]},
+                             {node.name for node in self.nodes})
+            made = collections.Counter(self.store.calls) - calls
+            print("calls in era %d: %s" % (era, dict(made)), file=sys.stderr)
+            self.assertLessEqual(sum(made.values()), 8 * len(self.nodes))
+            for node in self.nodes:
+                self.assertEqual(node.log().count("event=store_reset old=%d new=%d " % (era - 1, era)), 1)
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
