Play random returns of the store from older copies in the tests

A seeded run of 12 s over returns from copies of up to 4 s, outages of up to 1.5 s, restarts and new versions. Callers must get no 404 for a route in force, the versions in each node's log must rise, and after the last return all nodes must run the next version within 2 s and have their records in the store.

--- a/tests/process/store_reset_test.py
+++ b/tests/process/store_reset_test.py
@@ -4,6 +4,7 @@
 import http.client
 import os
 import pathlib
+import random
 import sys
 import threading
 import time
@@ -145,5 +146,88 @@
                 self.assertEqual(node.log().count("event=store_reset old=%d new=%d " % (era - 1, era)), 1)
 
 
+class GatewayStoreResetRandom(GatewayTest):
+    """Random returns from older copies, outages, restarts and changes, from the seed in SEED (1)."""
+
+    LENGTH_S = 12.0
+
+    def setUp(self):
+        super().setUp()
+        self.seed = int(os.environ.get("SEED", "1"))
+        self.random = random.Random(self.seed)
+        self.version = 5
+        self.routes = ROUTES + [("/new/", "idempotent", "board", 2)]
+        self.publish()
+        for node in self.nodes:
+            wait_until(lambda: node.call(path="/new/x")[0] == 200, "new route at " + node.name, CONFIG_APPLY_S)
+
+    def publish(self):
+        """Publishes a version with one more route; its name contains the version."""
+        self.version += self.random.randint(1, 4)
+        self.routes.append(("/r%d/" % self.version, "idempotent", "board", 2))
+        self.store.publish(self.version, self.routes, SERVICES)
+
+    def go_back(self):
+        with self.store.condition:
+            self.store.go_back(self.random.uniform(0.1, 4))
+            if self.random.random() < 0.5:
+                self.store.publish(self.version, self.routes, SERVICES)
+                for number in range(self.random.randint(0, 30)):
+                    self.store.put("keyed.op", "other-%d" % number, b"{}")
+                return
+        time.sleep(self.random.uniform(0, 0.8))
+        self.store.publish(self.version, self.routes, SERVICES)
+
+    def take_down(self):
+        self.store.is_down = True
+        time.sleep(self.random.uniform(0.1, 1.5))
+        if self.random.random() < 0.5:
+            self.go_back()
+        self.store.is_down = False
+
+    def restart_node(self):
+        """Restarts a node if another one keeps the newest version."""
+        node = self.random.choice(self.nodes)
+        others = [other for other in self.nodes if other is not node]
+        if any(other.is_ready() and other.call(path=self.newest_path())[0] == 200 for other in others):
+            node.kill()
+            node.start()
+
+    def newest_path(self):
+        return "/r%d/x" % self.version
+
+    def test_versions_never_go_back_and_all_nodes_agree_at_the_end(self):
+        loops = [CallerLoop(node, "/new/x") for node in self.nodes]
+        for each in loops:
+            self.addCleanup(each.stop.set)
+        steps = []
+        end = time.monotonic() + self.LENGTH_S
+        while time.monotonic() < end:
+            step = self.random.choice([self.publish, self.go_back, self.go_back, self.take_down, self.restart_node])
+            steps.append(step.__name__)
+            step()
+            time.sleep(self.random.uniform(0, 0.5))
+        self.go_back()
+        self.publish()
+        returned = time.monotonic()
+        message = "seed %d: %s" % (self.seed, " ".join(steps))
+        for node in self.nodes:
+            wait_until(lambda: node.call(path=self.newest_path())[0] == 200, "%s at %s" % (message, node.name),
+                       max(0.1, CONFIG_APPLY_S - (time.monotonic() - returned)))
+        agreed = time.monotonic() - returned
+        wait_until(lambda: {item["key"] for item in self.store.newest("keyed.nodes")["items"]} ==
+                   {node.name for node in self.nodes}, message + ": all records are in the store", 2)
+        statuses = [status for each in loops for status in each.end()]
+        print("seed %d: %d steps, era %d, agreed after %.2f s, %d requests, %d answered with 200" % (
+            self.seed, len(steps), self.store.era, agreed, len(statuses), statuses.count(200)), file=sys.stderr)
+        self.assertNotIn(404, statuses, message)
+        time.sleep(0.2)
+        for node in self.nodes:
+            for life in node.log().split("event=started")[1:]:
+                versions = [int(line.split("version=")[1].split()[0]) for line in life.splitlines()
+                            if "event=config_in_force" in line]
+                self.assertEqual(versions, sorted(set(versions)), message)
+
+
 if __name__ == "__main__":
     unittest.main(verbosity=2)
