--- a/tests/process/gateway_standins.py
+++ b/tests/process/gateway_standins.py
@@ -60,6 +60,7 @@
         self.topics = collections.defaultdict(list)
         self.append_times = collections.defaultdict(list)
         self.era = 1
+        self.responses = []  # (time, path, status, bytes of the body)
         self.calls = collections.Counter()
         self.rejected_ips = set()
         self.is_down = False
@@ -67,6 +68,7 @@
 
         class Handler(QuietHandler):
             def reply(self, status, body=b"", fields=()):
+                owner.responses.append((time.monotonic(), urllib.parse.urlsplit(self.path).path, status, len(body)))
                 super().reply(status, body, [*fields, ("Store-Era", str(owner.era))])
 
             def reject_if_unavailable(self):
