--- a/src/gateway/entry_router.cpp
+++ b/src/gateway/entry_router.cpp
@@ -77,10 +77,15 @@
         this->reject_unrouted(exchange, 503, "no_configuration");
         return;
     }
+    const auto newer_known = is_behind(this->shared.peer_nodes.newer_config());
+    if (newer_known && !this->routes_confirmed) {
+        this->reject_unrouted(exchange, 503, "configuration_behind");
+        return;
+    }
     const auto* route = host != nullptr ? this->routes->find(*host, exchange->request.target) : nullptr;
     if (route == nullptr) {
         // A newer configuration may have the route.
-        const auto behind = is_behind(this->shared.peer_nodes.newer_config());
+        const auto behind = newer_known || !this->routes_confirmed;
         this->reject_unrouted(exchange, behind ? 503 : 404, behind ? "configuration_behind" : "no_route");
         return;
     }
@@ -162,10 +167,11 @@
         const auto& record = member.record;
         if (member.reachable && record.service == service && record.state == report_state::ready &&
             !record.leaving && !pending.tried_nodes.contains(node)) {
-            found.push_back({node, record.load, member.sent_since_load, false,
+            found.push_back({node, record.load, member.sent_since_load(), false,
                              record.data_centre == this->shared.settings.data_centre,
                              member.ejected_until > now, std::max(member.cold_until - now, microseconds{0}),
-                             member.failure_rate.rate_at(now), may_try_new && !member.request_sent});
+                             member.failure_rate.rate_at(now), may_try_new && !member.request_sent,
+                             member.delay.at(now), member.delay.expected_at(now, member.sent_since_load())});
         }
     }
     return found;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -1,6 +1,7 @@
 #include "peers.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -34,8 +35,6 @@
 /*! @brief Time after a reply for which no node is asked for all known nodes again; changes arrive sooner from
  *         the store. */
 constexpr microseconds members_query_interval{5'000'000};
-/*! @brief Queueing delay above which a request is logged; many times the latency between data centres. */
-constexpr microseconds logged_queueing_delay{100'000};
 /*! @brief Interval at which advisories about requests that crash targets are sent. */
 constexpr microseconds advisory_interval{200'000};
 
@@ -189,6 +188,7 @@
         pong.mutable_pong()->set_number(frame.ping().number());
         pong.mutable_pong()->set_config_version(this->configs.version());
         encode(this->shared.host.load(), *pong.mutable_pong()->mutable_load());
+        pong.mutable_pong()->set_runs_received(link->runs_received);
         link->send(pong);
         break;
     }
@@ -196,7 +196,13 @@
         if (const auto sent = std::exchange(link->ping_sent_at, {}); sent != timestamp{}) {
             this->metrics.ping_seconds->observe(std::chrono::duration<double>{boot_now() - sent}.count());
         }
-        this->table.update_load(link->node, decode(frame.pong().load()), boot_now());
+        if (auto* known = this->table.find(link->node)) {
+            known->delay.on_pong(boot_now());
+        }
+        this->table.update_load(link->node, decode(frame.pong().load()),
+                                frame.pong().has_runs_received() ? std::optional{frame.pong().runs_received()}
+                                                                 : std::nullopt,
+                                boot_now());
         this->on_peer_version(link->node, frame.pong().config_version());
         break;
     case hop::Frame::kAdvisory:
@@ -233,6 +239,7 @@
     const auto state_before = before != nullptr ? before->record.state : report_state::unknown;
     const auto instance_before = before != nullptr ? before->record.instance : "";
     this->table.merge(*record, member_table::origin::link, boot_now());
+    this->share_min_delay(*link);
     this->configs.observe_version(record->config_version, boot_now());
     if (state_before != record->state || instance_before != record->instance) {
         this->shared.log.write(log_level::info, event_class::state, "peers", "target_of_node",
@@ -249,53 +256,16 @@
     }
 }
 
-void peers::on_run(const peer_link::pointer& link, hop::Run& message, microseconds queueing_delay)
-{
-    const auto id = message.id();
-    const auto respond = [link = std::weak_ptr<peer_link>{link}, id](attempt_result result) {
-        const auto origin = link.lock();
-        if (origin && origin->inbound_requests.erase(id) != 0) {
-            hop::Frame frame{};
-            encode(result, *frame.mutable_answer());
-            frame.mutable_answer()->set_id(id);
-            origin->send(frame);
-        }
-    };
-    if (!this->serving) {
-        link->inbound_requests.emplace(id, 0);
-        attempt_result result{};
-        result.outcome = attempt_outcome::refused;
-        result.cause = "node_stops";
-        respond(std::move(result));
-        return;
-    }
-    // The remaining times in the frame are relative to its send time, so the queueing delay is subtracted.
-    if (queueing_delay > logged_queueing_delay) {
-        this->shared.log.write(
-            log_level::info, event_class::failed_request, "peers", "request_held_up",
-            "id={} node={} queueing_delay_ms={} remaining_ms={}", log_value(message.attempt()), link->node,
-            std::chrono::duration_cast<milliseconds>(queueing_delay).count(), message.time_left_ms());
-    }
-    link->inbound_requests.emplace(
-        id, this->shared.host.run(decode(message, boot_now() - queueing_delay), respond));
-}
-
-void peers::on_response(const peer_link::pointer& link, hop::Answer& message)
+void peers::share_min_delay(peer_link& link)
 {
-    const auto found = link->outbound_requests.find(message.id());
-    if (found == link->outbound_requests.end()) {
+    // A new link may be congested from its start, so the shortest delay of earlier ones counts, too.
+    auto* known = this->table.find(link.node);
+    if (known == nullptr || (!known->min_delay && !link.min_delay)) {
         return;
     }
-    const auto done = std::move(found->second);
-    link->outbound_requests.erase(found);
-    if (auto* known = this->table.find(link->node)) {
-        known->in_flight -= std::min(known->in_flight, 1U);
-    }
-    auto result = decode(message);
-    if (message.has_load()) {
-        this->table.update_load(link->node, result.load, boot_now());
-    }
-    done(std::move(result));
+    known->min_delay = std::min(known->min_delay.value_or(microseconds::max()),
+                                link.min_delay.value_or(microseconds::max()));
+    link.min_delay = known->min_delay;
 }
 
 void peers::on_closed(const peer_link::pointer& link, const std::string& cause)
@@ -303,6 +273,7 @@
     for (const auto& [peer_id, local_id] : std::exchange(link->inbound_requests, {})) {
         this->shared.host.cancel(local_id);
     }
+    this->share_min_delay(*link);
     this->inbound_links.erase(link);
     if (link->outbound) {
         this->set_reachable(link->node, false, cause);
@@ -314,6 +285,7 @@
         if (auto* known = this->table.find(link->node)) {
             known->in_flight -=
                 std::min(known->in_flight, static_cast<std::uint32_t>(link->outbound_requests.size()));
+            known->on_link_closed();
         }
     }
     for (auto& [id, done] : std::exchange(link->outbound_requests, {})) {
@@ -376,42 +348,6 @@
     return true;
 }
 
-std::uint64_t peers::run(std::string_view node, const target_request_ptr& request, attempt_callback done)
-{
-    const auto found = this->outbound_links.find(node);
-    auto* known = this->table.find(node);
-    if (found == this->outbound_links.end() || known == nullptr || !known->reachable || !found->second.link ||
-        found->second.link->is_congested()) {
-        return 0;
-    }
-    const auto& link = found->second.link;
-    const auto id = ++this->last_id;
-    hop::Frame frame{};
-    encode(*request, boot_now(), *frame.mutable_run());
-    frame.mutable_run()->set_id(id);
-    link->send(frame);
-    link->outbound_requests.emplace(id, std::move(done));
-    ++known->in_flight;
-    ++known->sent_since_load;
-    known->request_sent = true;
-    return id;
-}
-
-void peers::cancel(std::string_view node, std::uint64_t id)
-{
-    const auto found = this->outbound_links.find(node);
-    if (found == this->outbound_links.end() || !found->second.link ||
-        found->second.link->outbound_requests.erase(id) == 0) {
-        return;
-    }
-    if (auto* known = this->table.find(node)) {
-        known->in_flight -= std::min(known->in_flight, 1U);
-    }
-    hop::Frame frame{};
-    frame.mutable_cancel()->set_id(id);
-    found->second.link->send(frame);
-}
-
 void peers::set_reachable(const std::string& node, bool reachable, const std::string& cause)
 {
     auto* known = this->table.find(node);
@@ -469,6 +405,9 @@
     if (now - peer.last_ping >= interval && link->ping_sent_at == timestamp{}) {
         peer.last_ping = now;
         link->ping_sent_at = now;
+        if (auto* known = this->table.find(node)) {
+            known->delay.on_ping(now, known->sent_since_load());
+        }
         hop::Frame frame{};
         frame.mutable_ping()->set_number(static_cast<std::uint64_t>(now.time_since_epoch().count()));
         frame.mutable_ping()->set_config_version(this->configs.version());
--- a/tests/gateway/peers.cpp
+++ b/tests/gateway/peers.cpp
@@ -101,6 +101,51 @@
     EXPECT_EQ(*find_field(this->target.requests.front()->request.fields, "X-Id"), "r2");
 }
 
+// Guards against requests that are started long after their callers have left (GONE).
+TEST_F(node_with_raw_peer, request_that_was_delayed_for_longer_than_it_has_left_is_refused)
+{
+    this->send(hello(), milliseconds{0});
+    // The deadline is 1 s after the send time.
+    this->send(run(1), milliseconds{600});
+    this->send(run(2), milliseconds{300});
+    EXPECT_TRUE(this->world.run_until([this] { return !this->target.requests.empty(); }));
+    this->world.run_for(milliseconds{50});
+    ASSERT_EQ(this->target.requests.size(), 1U);
+    EXPECT_EQ(*find_field(this->target.requests.front()->request.fields, "X-Id"), "r2");
+    std::string received{};
+    std::size_t offset{};
+    hop::Frame frame{};
+    EXPECT_TRUE(this->world.run_until([&] {
+        while (this->raw.available() > 0) {
+            std::array<char, 4'096> chunk{};
+            received.append(chunk.data(), this->raw.read_some(boost::asio::buffer(chunk)));
+        }
+        while (!frame.has_answer() && read_frame(received, offset, frame) == frame_status::complete) {}
+        return frame.has_answer();
+    }));
+    EXPECT_EQ(frame.answer().id(), 1U);
+    EXPECT_EQ(frame.answer().end(), static_cast<std::uint32_t>(attempt_outcome::refused));
+    EXPECT_EQ(frame.answer().cause(), "held_up");
+}
+
+// Guards against a congested new link on which each delay looks normal.
+TEST_F(node_with_raw_peer, delay_on_a_new_link_is_compared_with_that_of_the_link_before)
+{
+    this->send(hello(), milliseconds{0});
+    this->world.run_for(milliseconds{50});
+    const auto address = this->raw.remote_endpoint();
+    this->raw.close();
+    this->world.run_for(milliseconds{50});
+    this->raw.connect(address);
+    this->send(hello(), milliseconds{800});
+    this->send(run(1), milliseconds{800});
+    this->send(run(2), milliseconds{0});
+    EXPECT_TRUE(this->world.run_until([this] { return !this->target.requests.empty(); }));
+    this->world.run_for(milliseconds{50});
+    ASSERT_EQ(this->target.requests.size(), 1U);
+    EXPECT_EQ(*find_field(this->target.requests.front()->request.fields, "X-Id"), "r2");
+}
+
 TEST_F(node_with_raw_peer, known_nodes_are_sent_only_when_asked_for)
 {
     const auto receive = [this] {
@@ -205,6 +250,86 @@
     EXPECT_LE(dialled, 5U);
 }
 
+TEST_F(node_with_raw_peer, pong_reports_the_requests_that_arrived_before_the_ping)
+{
+    // The first request is cancelled in the same read and isn't started, but it has left the link.
+    std::string bytes{};
+    append_frame(hello(), bytes);
+    append_frame(run(1), bytes);
+    hop::Frame cancel{};
+    cancel.mutable_cancel()->set_id(1);
+    append_frame(cancel, bytes);
+    append_frame(run(2), bytes);
+    hop::Frame ping{};
+    ping.mutable_ping()->set_number(1);
+    append_frame(ping, bytes);
+    append_frame(run(3), bytes);
+    boost::asio::write(this->raw, boost::asio::buffer(bytes));
+    std::string received{};
+    std::size_t offset{};
+    hop::Frame frame{};
+    EXPECT_TRUE(this->world.run_until([&] {
+        while (this->raw.available() > 0) {
+            std::array<char, 4'096> chunk{};
+            received.append(chunk.data(), this->raw.read_some(boost::asio::buffer(chunk)));
+        }
+        while (!frame.has_pong() && read_frame(received, offset, frame) == frame_status::complete) {}
+        return frame.has_pong();
+    }));
+    EXPECT_TRUE(frame.pong().has_runs_received());
+    EXPECT_EQ(frame.pong().runs_received(), 2U);
+}
+
+TEST_F(node_with_raw_peer, unanswered_ping_and_request_in_transit_show_in_the_member)
+{
+    boost::asio::ip::tcp::acceptor acceptor{this->world.loop.context(),
+                                            {boost::asio::ip::make_address_v4("127.0.0.1"), 0}};
+    boost::asio::ip::tcp::socket slow{this->world.loop.context()};
+    member_record record{};
+    record.node = "slow";
+    record.ip = "127.0.0.1";
+    record.port = acceptor.local_endpoint().port();
+    const auto write = [&](const hop::Frame& frame) {
+        std::string bytes{};
+        append_frame(frame, bytes);
+        boost::asio::write(slow, boost::asio::buffer(bytes));
+    };
+    acceptor.async_accept(slow, [&](const boost::system::error_code& error) {
+        if (!error) {
+            hop::Frame greeting{};
+            encode(record, *greeting.mutable_hello()->mutable_self());
+            greeting.mutable_hello()->set_accepts_parts(true);
+            write(greeting);
+        }
+    });
+    this->links.on_member(record);
+    const auto known = [&]() -> member& { return *this->links.members().find("slow"); };
+    EXPECT_TRUE(this->world.run_until([&] { return known().reachable; }));
+    EXPECT_NE(this->links.run("slow", make_target_request("r1"), [](const attempt_result&) {}), 0U);
+    EXPECT_TRUE(this->world.run_until([&] { return known().delay.at(boot_now()) > milliseconds{300}; }));
+    hop::Frame pong{};
+    pong.mutable_pong()->mutable_load()->set_slots(5);
+    pong.mutable_pong()->set_runs_received(0);
+    write(pong);
+    EXPECT_TRUE(this->world.run_until([&] { return known().record.load.slots == 5U; }));
+    EXPECT_EQ(known().sent_since_load(), 1U);
+    pong.mutable_pong()->mutable_load()->set_slots(6);
+    pong.mutable_pong()->set_runs_received(1);
+    write(pong);
+    EXPECT_TRUE(this->world.run_until([&] { return known().record.load.slots == 6U; }));
+    EXPECT_EQ(known().sent_since_load(), 0U);
+
+    // The peer reads nothing, so the rest of a large request stays in the queue and is dropped when
+    // cancelled.
+    auto large = std::make_shared<target_request>(*make_target_request("large"));
+    large->body = std::string(30'000'000, 'b');
+    const auto id = this->links.run("slow", large, [](const attempt_result&) {});
+    EXPECT_EQ(known().sent_since_load(), 1U);
+    this->world.run_for(milliseconds{50});
+    this->links.cancel("slow", id);
+    EXPECT_EQ(known().sent_since_load(), 0U);
+}
+
 TEST_F(node_with_raw_peer, log_line_of_an_unreachable_node_has_unsent_bytes_and_age_of_the_ping)
 {
     boost::asio::ip::tcp::acceptor acceptor{this->world.loop.context(),
