--- a/include/kumquatdrift/mesh/members.hpp
+++ b/include/kumquatdrift/mesh/members.hpp
@@ -122,9 +122,6 @@
     timestamp load_received_at{};
     /*! @brief End of the slow phase after its target's start. */
     timestamp cold_until{};
-    /*! @brief Shortest one-way delay of a frame from the node's process, with the difference of the clocks.
-     */
-    std::optional<microseconds> min_delay{};
     /*! @brief Queueing delay of the link to the node. */
     link_delay delay{};
     /*! @brief Requests sent to the node on the current link. */
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -239,7 +239,6 @@
     const auto state_before = before != nullptr ? before->record.state : report_state::unknown;
     const auto instance_before = before != nullptr ? before->record.instance : "";
     this->table.merge(*record, member_table::origin::link, boot_now());
-    this->share_min_delay(*link);
     this->configs.observe_version(record->config_version, boot_now());
     if (state_before != record->state || instance_before != record->instance) {
         this->shared.log.write(log_level::info, event_class::state, "peers", "target_of_node",
@@ -256,24 +255,11 @@
     }
 }
 
-void peers::share_min_delay(peer_link& link)
-{
-    // A new link may be congested from its start, so the shortest delay of earlier ones counts, too.
-    auto* known = this->table.find(link.node);
-    if (known == nullptr || (!known->min_delay && !link.min_delay)) {
-        return;
-    }
-    known->min_delay = std::min(known->min_delay.value_or(microseconds::max()),
-                                link.min_delay.value_or(microseconds::max()));
-    link.min_delay = known->min_delay;
-}
-
 void peers::on_closed(const peer_link::pointer& link, const std::string& cause)
 {
     for (const auto& [peer_id, local_id] : std::exchange(link->inbound_requests, {})) {
         this->shared.host.cancel(local_id);
     }
-    this->share_min_delay(*link);
     this->inbound_links.erase(link);
     if (link->outbound) {
         this->set_reachable(link->node, false, cause);
--- a/src/gateway/peers.hpp
+++ b/src/gateway/peers.hpp
@@ -154,7 +154,6 @@
     void on_member_record(const peer_link::pointer& link, const hop::Member& message);
     void on_run(const peer_link::pointer& link, hop::Run& message, microseconds queueing_delay);
     void on_response(const peer_link::pointer& link, hop::Answer& message);
-    void share_min_delay(peer_link& link);
     void on_closed(const peer_link::pointer& link, const std::string& cause);
     void close_link(const peer_link::pointer& link, const std::string& cause);
     void on_tick(timestamp now);
--- a/src/mesh/members.cpp
+++ b/src/mesh/members.cpp
@@ -28,10 +28,6 @@
     const auto address_changed = added || known.record.ip != record.ip || known.record.port != record.port;
     const auto target_replaced =
         known.record.instance != record.instance || known.record.started_ms != record.started_ms;
-    if (known.record.started_ms != record.started_ms) {
-        // The clock of a host that has restarted has started anew.
-        known.min_delay.reset();
-    }
     known.record = record;
     known.cold_until = now + record.cold_left;
     if (target_replaced) {
--- a/tests/platform/keyed_topic.cpp
+++ b/tests/platform/keyed_topic.cpp
@@ -57,7 +57,7 @@
             [this](std::string_view, std::optional<std::string_view> value) {
                 this->values.emplace_back(value.value_or(""));
             },
-            this->record_event);
+            this->record_event, [this](bool available) { this->accesses.push_back(available); });
     }
 
     /*! @brief Waits for the next request and returns its target; empty if none arrives. */
@@ -104,6 +104,7 @@
     std::function<void()> on_era{};
     std::vector<std::uint64_t> eras{};
     std::vector<std::string> values{};
+    std::vector<bool> accesses{};
     std::vector<std::string> events{};
     std::size_t answered{};
 };
@@ -262,5 +263,25 @@
     EXPECT_EQ(this->event_count("store_era header=malformed"), 1);
 }
 
+// Guards against a follower that has lost the store, stops following and never reports that the store is
+// back.
+TEST_F(keyed_topic_reader, reader_that_stops_following_during_a_failure_goes_on_until_a_read_succeeds)
+{
+    this->subscribe();
+    this->expect_newest("", 5);
+    ASSERT_EQ(this->next_target(), read_from(5));
+    this->answer("", "", 503);
+    ASSERT_NE(this->next_target(), "");
+    this->topic.set_following(false);
+    this->answer("", "", 503);
+    EXPECT_EQ(this->accesses, std::vector<bool>{false});
+    ASSERT_NE(this->next_target(), "");
+    this->answer("", newest_body(5));
+    EXPECT_TRUE(this->world.run_until([this] { return this->accesses.size() == 2U; }));
+    EXPECT_TRUE(this->accesses.back());
+    this->world.run_for(milliseconds{300});
+    EXPECT_EQ(this->store.requests.size(), this->answered);
+}
+
 } // namespace
 } // namespace kumquatdrift::platform
