Log and count the rate limits that targets name

A target may name a rate limit in its responses (Server-Limit), or that it leaves (Server-Leaving).

- platform/ decodes both headers.
A value that is no finite, non-negative decimal number, or no flag, is ignored and logged.
- target_limit and target_leaving log each change with the instance and the requests sent; gateway_target_limit and gateway_target_requests_total are the metrics.

--- a/include/kumquatdrift/gateway/platform.hpp
+++ b/include/kumquatdrift/gateway/platform.hpp
@@ -40,6 +40,16 @@
     std::uint32_t slots{};
 };
 
+/*! @brief What a target states about itself in a response to a request. */
+struct target_notice {
+    /*! @brief Requests per second that it accepts from all nodes together; nothing if it names no limit. */
+    std::optional<double> limit{};
+    /*! @brief True if it is about to leave and should get no further requests. */
+    bool leaving{};
+    /*! @brief A value that could not be decoded and was ignored; empty if there is none. */
+    std::string malformed{};
+};
+
 /*! @brief Callbacks for records from the store of the platform. */
 struct platform_callbacks {
     /*! @brief Receives a complete configuration. */
@@ -87,6 +97,13 @@
      */
     [[nodiscard]] virtual std::optional<target_health> decode_health(const http_message& response) const = 0;
 
+    /**
+     * @brief Decodes what a target states about itself in a response.
+     * @param response Response of the target.
+     * @return Its rate limit, and whether it is leaving.
+     */
+    [[nodiscard]] virtual target_notice decode_notice(const http_message& response) const = 0;
+
     /**
      * @brief Finds the request during which a target makes a nested call.
      * @param attempt Attempt id of the nested call.
--- a/src/gateway/target_host.cpp
+++ b/src/gateway/target_host.cpp
@@ -1,6 +1,7 @@
 #include "target_host.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include <kumquatdrift/core/boot_clock.hpp>
@@ -39,6 +40,11 @@
                          std::function<void()> changed)
     : shared{common}, node{std::move(name)}, report_interval{interval}, on_change{std::move(changed)},
       client{common.loop, {connect_timeout, max_idle_connections, 65'536, max_response_bytes}},
+      limit_gauge{common.metrics.gauge_of(
+          "gateway_target_limit",
+          "Requests per second that the target accepts, rounded; 0 if it names no limit")},
+      requests_sent{
+          common.metrics.counter_of("gateway_target_requests_total", "Requests sent to the target")},
       run_seconds{
           common.metrics.histogram_of("gateway_run_seconds", "Time that requests hold a slot of the target")},
       wait_seconds{common.metrics.histogram_of("gateway_wait_seconds", "Time that requests wait for a slot")}
@@ -198,6 +204,7 @@
     call.max_idle = request.idempotent ? max_idle_idempotent : max_idle_non_idempotent;
     call.id_field = headers.attempt_id;
     call.id = request.attempt_id;
+    this->requests_sent.add();
     pending.call_id = this->client.call(
         std::move(call), [this, id](call_result result) { this->on_response(id, std::move(result)); });
 }
@@ -262,6 +269,9 @@
     this->queue.finish(id, result.outcome == attempt_outcome::answered && result.status < 500, now);
     if (call.outcome == call_outcome::answered) {
         this->last_response_at = now;
+        if (result.outcome == attempt_outcome::answered || result.outcome == attempt_outcome::shed) {
+            this->on_notice(call.response);
+        }
     }
     if (result.outcome == attempt_outcome::answered) {
         result.service_time = now - found->second.since;
@@ -285,6 +295,28 @@
     this->start_queued();
 }
 
+void target_host::on_notice(const http_message& response)
+{
+    const auto notice = this->shared.platform.decode_notice(response);
+    if (!notice.malformed.empty()) {
+        this->shared.log.write(log_level::warn, event_class::failed_request, "target", "bad_notice",
+                               "instance={} value={}", log_value(this->current.instance),
+                               log_value(notice.malformed));
+    }
+    if (notice.limit != this->named_limit) {
+        this->shared.log.write(log_level::info, event_class::state, "target", "target_limit",
+                               "instance={} limit={} before={} sent={}", log_value(this->current.instance),
+                               notice.limit.value_or(0.0), this->named_limit.value_or(0.0),
+                               this->requests_sent.value());
+        this->named_limit = notice.limit;
+        this->limit_gauge.set(std::llround(notice.limit.value_or(0.0)));
+    }
+    if (std::exchange(this->named_leaving, notice.leaving) != notice.leaving) {
+        this->shared.log.write(log_level::info, event_class::state, "target", "target_leaving",
+                               "instance={} leaving={}", log_value(this->current.instance), notice.leaving);
+    }
+}
+
 void target_host::on_unreachable(const std::string& cause)
 {
     this->on_crash();
--- a/src/gateway/target_host.hpp
+++ b/src/gateway/target_host.hpp
@@ -137,6 +137,7 @@
     void dispatch(std::uint64_t id);
     void start_queued();
     void on_response(std::uint64_t id, call_result call);
+    void on_notice(const http_message& response);
     [[nodiscard]] attempt_result classify(const target_request& request, call_result& call) const;
     void reject(std::uint64_t id, const std::string& cause);
     void complete(std::uint64_t id, attempt_result result);
@@ -159,7 +160,12 @@
     std::unordered_map<std::uint64_t, pending_request> requests{};
     std::unordered_multiset<std::string> running_attempts{};
     std::vector<lost_attempt> recent_losses{};
+    /*! @brief Rate limit in the latest response; nothing if it named none. */
+    std::optional<double> named_limit{};
+    bool named_leaving{};
     std::uint64_t last_id{};
+    gauge& limit_gauge;
+    counter& requests_sent;
     latency_histogram& run_seconds;
     latency_histogram& wait_seconds;
 };
--- a/tests/platform/decode.cpp
+++ b/tests/platform/decode.cpp
@@ -201,5 +201,39 @@
     EXPECT_FALSE(decode_member("\xfe"));
 }
 
+/*! @brief Fields of a response, and the expected notice. */
+struct notice_case {
+    http_fields fields{};
+    std::optional<double> limit{};
+    bool leaving{};
+    std::string malformed{};
+};
+
+class decoded_notice : public testing::TestWithParam<notice_case> {};
+
+TEST_P(decoded_notice, limit_and_leaving_flag_are_decoded_or_ignored_as_malformed)
+{
+    http_message response{};
+    response.fields = GetParam().fields;
+    const auto notice = decode_notice(response);
+    EXPECT_EQ(notice.limit, GetParam().limit);
+    EXPECT_EQ(notice.leaving, GetParam().leaving);
+    EXPECT_EQ(notice.malformed, GetParam().malformed);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    responses, decoded_notice,
+    testing::Values(notice_case{}, notice_case{{{"server-limit", "20.9"}}, 20.9, false, ""},
+                    notice_case{{{"X-Kumquatdrift-Server-Limit", "12"}}, 12.0, false, ""},
+                    notice_case{{{"Server-Limit", "0"}}, 0.0, false, ""},
+                    notice_case{{{"Server-Limit", "5"}, {"Server-Leaving", "1"}}, 5.0, true, ""},
+                    notice_case{{{"Server-Leaving", "0"}}, {}, false, ""},
+                    notice_case{{{"Server-Leaving", "yes"}}, {}, false, "yes"},
+                    notice_case{{{"Server-Limit", "-1"}}, {}, false, "-1"},
+                    notice_case{{{"Server-Limit", "nan"}}, {}, false, "nan"},
+                    notice_case{{{"Server-Limit", "inf"}}, {}, false, "inf"},
+                    notice_case{{{"Server-Limit", "1e3"}}, {}, false, "1e3"},
+                    notice_case{{{"Server-Limit", "5 a second"}}, {}, false, "5 a second"}));
+
 } // namespace
 } // namespace kumquatdrift::platform
--- a/tests/support/gateway_world.hpp
+++ b/tests/support/gateway_world.hpp
@@ -39,6 +39,13 @@
         return response.status == 200 ? std::optional{target_health{"i-1", 2}} : std::nullopt;
     }
 
+    [[nodiscard]] target_notice decode_notice(const http_message& response) const override
+    {
+        const auto* limit = find_field(response.fields, "X-Limit");
+        return {limit != nullptr ? std::optional{std::stod(*limit)} : std::nullopt,
+                find_field(response.fields, "X-Leaving") != nullptr, ""};
+    }
+
     [[nodiscard]] std::string parent_attempt(const std::string& attempt) const override
     {
         const auto dot = attempt.rfind('.');
