--- a/tests/process/gateway_standins.py
+++ b/tests/process/gateway_standins.py
@@ -182,6 +182,7 @@
         self.lock = threading.Lock()
         self.on_request = None
         self.state = "ready"
+        self.notice = []  # Further header fields of each response, as (name, value).
         self.is_running = True
         owner = self
 
@@ -212,7 +213,7 @@
 
             def respond(self, attempt, body):
                 self.reply(200, body, [("X-Kumquatdrift-Attempt-Id", attempt),
-                                       ("X-Kumquatdrift-Response-Signature", "sig")])
+                                       ("X-Kumquatdrift-Response-Signature", "sig"), *owner.notice])
 
             do_GET = do_POST = serve
 
