Keep the rate limit and the leave that a target states in its responses

Cause: nothing read the header; a target's node started requests by free slots only. The same cause let a target that stated that it leaves be used until a report said so. Besides, what a target had stated was lost with the process of its node: one that had deregistered was used again when its reports went on.

Change: every request for a target passes through its node, so that node holds the count. - traffic/target_limit: a bucket of a quarter second at the named rate. run_queue starts requests from it in the order that it has anyway (nested calls, priority, one in four by due time), counts the wait for it in the estimates, and rejects at once what does not fit any more, also when more urgent requests have overtaken it, with the time until there is room. - A limit stays until a request sent after the last naming is answered without one, at least 1 s; one of 0 lets a request pass every 4 s, because only a response can lift it. A response of an earlier incarnation is ignored. - A leave in a response counts as a report of draining. - Loads tell the other nodes the limit, the wait for it and the leave; placement counts the wait as time in the queue. The weights of a split don't change: what doesn't fit is rejected. - Other nodes remember limit and leave by incarnation. Their Hello gives them back to a node that has restarted, before any request on that link; they don't use a target that has left according to an earlier process of its node.

--- a/include/kumquatdrift/mesh/members.hpp
+++ b/include/kumquatdrift/mesh/members.hpp
@@ -1,6 +1,7 @@
 #ifndef KUMQUATDRIFT_MESH_MEMBERS_HPP
 #define KUMQUATDRIFT_MESH_MEMBERS_HPP
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <functional>
@@ -75,6 +76,25 @@
     microseconds service_time{};
     /*! @brief Ratio of the target's service time to the mean over all targets for the same requests. */
     double slowness{1.0};
+    /*! @brief Requests per second that the target accepts from all nodes together; 0 if it names no limit,
+     *         nothing if that is unknown because it hasn't responded since its node started. */
+    std::optional<double> limit{};
+    /*! @brief Time until another request could start under the limit. */
+    microseconds limit_wait{};
+    /*! @brief True if the target has announced that it leaves. */
+    bool left{};
+};
+
+/*! @brief What a node remembers of another node's target, so that a restart of that node doesn't lose it. */
+struct target_memory {
+    /*! @brief Incarnation id of the target; empty if nothing is known. */
+    std::string instance{};
+    /*! @brief True if the target has announced that it leaves. */
+    bool left{};
+    /*! @brief Start of the process of its node that stated so, in Unix milliseconds. */
+    std::uint64_t left_stated_by_ms{};
+    /*! @brief Requests per second that it accepts; 0 if it names no limit. */
+    double limit{};
 };
 
 /*! @brief State that a node publishes about itself and its target. */
@@ -140,6 +160,8 @@
     std::uint32_t consecutive_failures{};
     /*! @brief Failure rate of its target. */
     failure_rate_estimator failure_rate{};
+    /*! @brief What the node's processes have stated about its target. */
+    target_memory memory{};
 
     /**
      * @brief Returns the number of requests that the known load does not include because they had not arrived
@@ -151,6 +173,26 @@
         return static_cast<std::uint32_t>(this->requests_sent - this->requests_arrived);
     }
 
+    /*! @brief Returns true if the target accepts requests, according to its node and, in case that one has
+     *         restarted, to its earlier processes. */
+    [[nodiscard]] bool accepts_requests() const noexcept
+    {
+        return this->record.state == report_state::ready && !this->record.leaving &&
+               !(this->memory.left && this->memory.instance == this->record.instance);
+    }
+
+    /**
+     * @brief Returns the latest load, with the wait for the rate limit as of now.
+     * @param now Current time.
+     * @return Load.
+     */
+    [[nodiscard]] target_load load_at(timestamp now) const noexcept
+    {
+        auto load = this->record.load;
+        load.limit_wait = std::max(load.limit_wait - (now - this->load_received_at), microseconds{0});
+        return load;
+    }
+
     /*! @brief Forgets the requests and the ping that were sent on a link that has closed. */
     void on_link_closed() noexcept
     {
--- a/include/kumquatdrift/traffic/fwd.hpp
+++ b/include/kumquatdrift/traffic/fwd.hpp
@@ -31,6 +31,7 @@
 struct run_request;
 enum class run_decision : std::uint8_t;
 class run_queue;
+class target_limit;
 
 struct placement_candidate;
 struct placement_settings;
--- a/include/kumquatdrift/traffic/placement.hpp
+++ b/include/kumquatdrift/traffic/placement.hpp
@@ -85,7 +85,8 @@
  * it is needed.
  *
  * Takes the load of a target from the last report of its node, and adds the requests that this node has sent
- * to it and that had not arrived there. The delay of a congested link is part of the response time.
+ * to it and that had not arrived there. A rate limit of the target counts as time in its queue. The delay of
+ * a congested link is part of the response time.
  *
  * @param candidates Targets of the service that take requests and that the request was not sent to before.
  * @param times Times of the request.
--- a/include/kumquatdrift/traffic/run_queue.hpp
+++ b/include/kumquatdrift/traffic/run_queue.hpp
@@ -14,6 +14,7 @@
 #include <kumquatdrift/core/time.hpp>
 #include <kumquatdrift/mesh/members.hpp>
 #include <kumquatdrift/traffic/fwd.hpp>
+#include <kumquatdrift/traffic/target_limit.hpp>
 
 namespace kumquatdrift {
 
@@ -62,7 +63,8 @@
  * Nested calls start first, ordered by the hash of the request on whose behalf they are made. All targets use
  * the same order, so that under overload either all calls of a request are served or none: a request fails
  * with its first rejected call, which wastes the work of its other calls. All other requests start by
- * priority, and those that are already late start last. One start in `earliest_due_interval` goes to the
+ * priority, and those that are already late start last. A rate limit that the target names delays starts in
+ * the same order. One start in `earliest_due_interval` goes to the
  * request that is due first among those that are neither nested calls nor late, ahead of all others, so that
  * no priority starves.
  */
@@ -98,7 +100,7 @@
     void finish(std::uint64_t id, bool succeeded, timestamp now);
 
     /**
-     * @brief Starts the next queued request if a slot is free.
+     * @brief Starts the next queued request if a slot is free and the rate limit allows it.
      * @param now Current time.
      * @return Id of the request, which now holds a slot; nothing if none can start.
      */
@@ -125,25 +127,41 @@
     [[nodiscard]] std::vector<std::uint64_t> remove_all();
 
     /**
-     * @brief Resets the measured service time and slowness, for a new incarnation of the target.
+     * @brief Resets the measured service time and slowness and the rate limit, for a new incarnation of the
+     *        target.
      */
     void reset_estimates() noexcept
     {
         this->mean_service_time = {};
         this->slowness = 1.0;
+        this->rate_limit.reset();
+    }
+
+    /*! @brief Returns the rate limit of the target, which applies to starts. */
+    [[nodiscard]] target_limit& limit() noexcept
+    {
+        return this->rate_limit;
+    }
+
+    /*! @copydoc limit */
+    [[nodiscard]] const target_limit& limit() const noexcept
+    {
+        return this->rate_limit;
     }
 
     /**
      * @brief Returns the load of the target.
-     * @return Slots in use, queue length, number of slots, mean service time and slowness.
+     * @param now Current time.
+     * @return Slots in use, queue length, number of slots, mean service time, slowness and rate limit.
      */
-    [[nodiscard]] target_load load() const noexcept;
+    [[nodiscard]] target_load load(timestamp now) const noexcept;
 
     /**
      * @brief Estimates the time until a request that is rejected now could start.
+     * @param now Current time.
      * @return Time from now.
      */
-    [[nodiscard]] microseconds time_to_free_slot() const noexcept;
+    [[nodiscard]] microseconds time_to_free_slot(timestamp now) const noexcept;
 
 private:
     /*! @brief Order of starts by priority: rank, parent hash, deadline, id. */
@@ -160,12 +178,13 @@
     [[nodiscard]] static due_key due_key_of(const run_request& request) noexcept;
     [[nodiscard]] bool can_finish_in_time(const run_request& request, microseconds wait,
                                           timestamp now) const noexcept;
-    [[nodiscard]] microseconds estimate_wait(std::size_t ahead) const noexcept;
+    [[nodiscard]] microseconds estimate_wait(std::size_t ahead, timestamp now) const noexcept;
     [[nodiscard]] microseconds estimate_service_time(const run_request& request) const noexcept;
     [[nodiscard]] std::size_t count_starts_before(const run_request& request) const;
     void erase(std::uint64_t id);
 
     std::uint32_t slots{};
+    target_limit rate_limit{};
     microseconds mean_service_time{};
     double slowness{1.0};
     std::unordered_map<std::uint64_t, running_request> running{};
--- a/src/gateway/entry_router.cpp
+++ b/src/gateway/entry_router.cpp
@@ -165,9 +165,9 @@
     }
     for (const auto& [node, member] : this->shared.peer_nodes.members().all()) {
         const auto& record = member.record;
-        if (member.reachable && record.service == service && record.state == report_state::ready &&
-            !record.leaving && !pending.tried_nodes.contains(node)) {
-            found.push_back({node, record.load, member.sent_since_load(), false,
+        if (member.reachable && record.service == service && member.accepts_requests() &&
+            !pending.tried_nodes.contains(node)) {
+            found.push_back({node, member.load_at(now), member.sent_since_load(), false,
                              record.data_centre == this->shared.settings.data_centre,
                              member.ejected_until > now, std::max(member.cold_until - now, microseconds{0}),
                              member.failure_rate.rate_at(now), may_try_new && !member.request_sent,
--- a/src/gateway/hop_codec.cpp
+++ b/src/gateway/hop_codec.cpp
@@ -3,12 +3,15 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <limits>
 #include <utility>
 
 namespace kumquatdrift {
 namespace {
 
 constexpr double per_mille = 1'000.0;
+/*! @brief Time in seconds to which encoded rate limits refer. */
+constexpr double limit_unit_s = 1'000.0;
 
 /*! @brief Returns the time until a deadline; 0 if it has passed. */
 milliseconds remaining(timestamp until, timestamp now)
@@ -21,6 +24,18 @@
     return static_cast<std::uint32_t>(duration.count());
 }
 
+std::uint32_t microsecond_count(microseconds duration)
+{
+    return static_cast<std::uint32_t>(
+        std::clamp<microseconds::rep>(duration.count(), 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+std::uint32_t encode_limit(double requests_per_second)
+{
+    constexpr double max = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::min(requests_per_second * limit_unit_s, max));
+}
+
 } // namespace
 
 void append_frame(const hop::Frame& frame, std::string& output)
@@ -61,13 +76,37 @@
     message.set_slots(load.slots);
     message.set_service_us(static_cast<std::uint32_t>(load.service_time.count()));
     message.set_slowness_permille(static_cast<std::uint32_t>(std::lround(load.slowness * per_mille)));
+    message.set_limit_per_1000_s(encode_limit(load.limit.value_or(0.0)));
+    message.set_limit_wait_us(microsecond_count(load.limit_wait));
+    message.set_limit_unknown(!load.limit);
+    message.set_left(load.left);
+}
+
+void encode(const target_memory& memory, hop::TargetMemory& message)
+{
+    message.set_instance(memory.instance);
+    message.set_left(memory.left);
+    message.set_left_stated_by_ms(memory.left_stated_by_ms);
+    message.set_limit_per_1000_s(encode_limit(memory.limit));
+}
+
+target_memory decode(const hop::TargetMemory& message)
+{
+    return {message.instance(), message.left(), message.left_stated_by_ms(),
+            message.limit_per_1000_s() / limit_unit_s};
 }
 
 target_load decode(const hop::Load& message)
 {
     const auto slowness = message.slowness_permille() == 0 ? 1.0 : message.slowness_permille() / per_mille;
-    return {message.running(), message.waiting(), message.slots(), microseconds{message.service_us()},
-            slowness};
+    return {message.running(),
+            message.waiting(),
+            message.slots(),
+            microseconds{message.service_us()},
+            slowness,
+            message.limit_unknown() ? std::nullopt : std::optional{message.limit_per_1000_s() / limit_unit_s},
+            microseconds{message.limit_wait_us()},
+            message.left()};
 }
 
 void encode(const member_record& record, hop::Member& message)
--- a/src/gateway/hop_codec.hpp
+++ b/src/gateway/hop_codec.hpp
@@ -66,6 +66,20 @@
  */
 [[nodiscard]] target_load decode(const hop::Load& message);
 
+/**
+ * @brief Encodes what this node remembers of another node's target.
+ * @param memory Memory.
+ * @param message Receives the message.
+ */
+void encode(const target_memory& memory, hop::TargetMemory& message);
+
+/**
+ * @brief Decodes what another node remembers of this node's target.
+ * @param message Message.
+ * @return Memory.
+ */
+[[nodiscard]] target_memory decode(const hop::TargetMemory& message);
+
 /**
  * @brief Encodes a request.
  * @param request Request.
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -119,6 +119,10 @@
         [this](const peer_link::pointer& from, const std::string& cause) { this->on_closed(from, cause); });
     hop::Frame frame{};
     encode(this->self(), *frame.mutable_hello()->mutable_self());
+    if (const auto* known = this->table.find(link->node);
+        known != nullptr && (known->memory.left || known->memory.limit > 0.0)) {
+        encode(known->memory, *frame.mutable_hello()->mutable_remembered());
+    }
     const auto now = boot_now();
     if (this->next_members_query <= now) {
         this->next_members_query = now + members_query_timeout;
@@ -130,6 +134,9 @@
 void peers::on_hello(const peer_link::pointer& link, const hop::Hello& hello)
 {
     this->on_member_record(link, hello.self());
+    if (hello.has_remembered()) {
+        this->shared.host.restore(decode(hello.remembered()), this->self().started_ms);
+    }
     if (hello.known_size() > 0) {
         this->next_members_query = boot_now() + members_query_interval;
     }
--- a/src/gateway/target_host.cpp
+++ b/src/gateway/target_host.cpp
@@ -1,7 +1,6 @@
 #include "target_host.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 #include <kumquatdrift/core/boot_clock.hpp>
@@ -81,8 +80,14 @@
     if (!same) {
         if (!this->current.instance.empty()) {
             this->on_crash();
+            // A later incarnation with the same id.
+            std::erase_if(this->memories, [&](const target_memory& memory) {
+                return memory.instance == report.instance && this->current.instance == report.instance;
+            });
         }
+        ++this->incarnation;
         this->queue.reset_estimates();
+        this->log_limit("new_instance");
         this->client.close_idle();
     }
     // A report of `ready` doesn't undo `draining` or `gone` within the same incarnation.
@@ -93,7 +98,10 @@
     this->last_report_at = boot_now();
     const auto address = parse_address(report.address);
     this->client.set_address(address ? *address : this->default_address);
-    this->set_state(state, same ? "report" : "new_instance");
+    const auto has_left = this->apply_memory() && state == report_state::ready;
+    this->set_state(has_left ? report_state::draining : state, has_left ? "remembered"
+                                                               : same   ? "report"
+                                                                        : "new_instance");
     return true;
 }
 
@@ -138,7 +146,9 @@
         this->current.service = service;
         this->current.slots = health->slots;
         this->last_report_at = boot_now();
-        this->set_state(report_state::ready, "health");
+        const auto has_left = this->apply_memory();
+        this->set_state(has_left ? report_state::draining : report_state::ready,
+                        has_left ? "remembered" : "health");
     });
 }
 
@@ -154,7 +164,7 @@
 {
     const auto id = ++this->last_id;
     const auto now = boot_now();
-    this->requests.emplace(id, pending_request{request, std::move(done), 0, false, now});
+    this->requests.emplace(id, pending_request{request, std::move(done), 0, false, now, 0});
     const auto rejection = this->rejection_cause(*request);
     const auto decision =
         rejection.empty()
@@ -189,6 +199,7 @@
     pending.started = true;
     this->running_attempts.insert(request.attempt_id);
     pending.since = now;
+    pending.incarnation = this->incarnation;
     const auto remaining = std::chrono::duration_cast<milliseconds>(request.deadline - now).count();
     std::string lines{request.header_lines};
     lines.append(headers.time_left_ms)
@@ -270,7 +281,7 @@
     if (call.outcome == call_outcome::answered) {
         this->last_response_at = now;
         if (result.outcome == attempt_outcome::answered || result.outcome == attempt_outcome::shed) {
-            this->on_notice(call.response);
+            this->on_notice(found->second, call.response);
         }
     }
     if (result.outcome == attempt_outcome::answered) {
@@ -295,28 +306,6 @@
     this->start_queued();
 }
 
-void target_host::on_notice(const http_message& response)
-{
-    const auto notice = this->shared.platform.decode_notice(response);
-    if (!notice.malformed.empty()) {
-        this->shared.log.write(log_level::warn, event_class::failed_request, "target", "bad_notice",
-                               "instance={} value={}", log_value(this->current.instance),
-                               log_value(notice.malformed));
-    }
-    if (notice.limit != this->named_limit) {
-        this->shared.log.write(log_level::info, event_class::state, "target", "target_limit",
-                               "instance={} limit={} before={} sent={}", log_value(this->current.instance),
-                               notice.limit.value_or(0.0), this->named_limit.value_or(0.0),
-                               this->requests_sent.value());
-        this->named_limit = notice.limit;
-        this->limit_gauge.set(std::llround(notice.limit.value_or(0.0)));
-    }
-    if (std::exchange(this->named_leaving, notice.leaving) != notice.leaving) {
-        this->shared.log.write(log_level::info, event_class::state, "target", "target_leaving",
-                               "instance={} leaving={}", log_value(this->current.instance), notice.leaving);
-    }
-}
-
 void target_host::on_unreachable(const std::string& cause)
 {
     this->on_crash();
@@ -355,7 +344,7 @@
     attempt_result result{};
     result.outcome = attempt_outcome::refused;
     result.cause = cause;
-    result.time_to_free_slot = this->queue.time_to_free_slot();
+    result.time_to_free_slot = this->queue.time_to_free_slot(boot_now());
     this->complete(id, std::move(result));
 }
 
@@ -407,7 +396,9 @@
 
 target_load target_host::load() const noexcept
 {
-    return this->queue.load();
+    auto load = this->queue.load(boot_now());
+    load.left = this->current.state == report_state::draining || this->current.state == report_state::gone;
+    return load;
 }
 
 void target_host::on_suspension()
--- a/src/gateway/target_host.hpp
+++ b/src/gateway/target_host.hpp
@@ -113,6 +113,14 @@
         return this->requests.size();
     }
 
+    /**
+     * @brief Applies what another node remembers of the target, in case this node has restarted since. It may
+     * arrive before the first report of the target.
+     * @param memory What the other node remembers.
+     * @param started_ms Start of this process in Unix milliseconds.
+     */
+    void restore(const target_memory& memory, std::uint64_t started_ms);
+
     /*! @brief Closes idle connections, which may be stale after a suspension of this process. */
     void on_suspension();
 
@@ -126,6 +134,8 @@
         bool started{};
         /*! @brief Time at which it was queued, then the time at which it was sent. */
         timestamp since{};
+        /*! @brief Incarnation of the target to which it was sent. */
+        std::uint64_t incarnation{};
     };
     /*! @brief A request whose connection failed, kept until a crash can be attributed to it. */
     struct lost_attempt {
@@ -137,7 +147,9 @@
     void dispatch(std::uint64_t id);
     void start_queued();
     void on_response(std::uint64_t id, call_result call);
-    void on_notice(const http_message& response);
+    void on_notice(const pending_request& pending, const http_message& response);
+    void log_limit(const std::string& cause);
+    [[nodiscard]] bool apply_memory();
     [[nodiscard]] attempt_result classify(const target_request& request, call_result& call) const;
     void reject(std::uint64_t id, const std::string& cause);
     void complete(std::uint64_t id, attempt_result result);
@@ -160,9 +172,13 @@
     std::unordered_map<std::uint64_t, pending_request> requests{};
     std::unordered_multiset<std::string> running_attempts{};
     std::vector<lost_attempt> recent_losses{};
-    /*! @brief Rate limit in the latest response; nothing if it named none. */
-    std::optional<double> named_limit{};
-    bool named_leaving{};
+    /*! @brief Number of the target's incarnation since the start of this node. */
+    std::uint64_t incarnation{};
+    /*! @brief What other nodes remember of the target from before the start of this node. */
+    std::vector<target_memory> memories{};
+    /*! @brief Rate limit that was last logged in requests per second; 0 if there was none. */
+    double logged_limit{};
+    timestamp limit_logged_at{};
     std::uint64_t last_id{};
     gauge& limit_gauge;
     counter& requests_sent;
--- /dev/null
+++ b/src/gateway/target_notices.cpp
@@ -0,0 +1,92 @@
+#include "target_host.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include <kumquatdrift/core/boot_clock.hpp>
+
+namespace kumquatdrift {
+namespace {
+
+/*! @brief Maximum number of incarnations of the target about which memories of other nodes are kept. */
+constexpr std::size_t max_memories = 8;
+/*! @brief Relative change of a rate limit that is logged, and the shortest time between two such lines. */
+constexpr double logged_limit_change = 0.1;
+constexpr microseconds limit_log_interval{1'000'000};
+
+} // namespace
+
+void target_host::on_notice(const pending_request& pending, const http_message& response)
+{
+    if (pending.incarnation != this->incarnation || response.status == 421) {
+        return;
+    }
+    const auto notice = this->shared.platform.decode_notice(response);
+    if (!notice.malformed.empty()) {
+        this->shared.log.write(log_level::warn, event_class::failed_request, "target", "bad_notice",
+                               "instance={} value={}", log_value(this->current.instance),
+                               log_value(notice.malformed));
+    }
+    this->queue.limit().on_response(notice.limit, pending.since, boot_now());
+    this->log_limit("response");
+    if (notice.leaving && this->current.state != report_state::gone) {
+        this->set_state(report_state::draining, "response");
+    }
+}
+
+void target_host::log_limit(const std::string& cause)
+{
+    const auto now = boot_now();
+    const auto rate = this->queue.limit().rate().value_or(0.0);
+    const auto before = this->logged_limit;
+    const auto appears_or_goes = (rate == 0.0) != (before == 0.0);
+    if (!appears_or_goes && (std::abs(rate - before) <= logged_limit_change * before ||
+                             now - this->limit_logged_at < limit_log_interval)) {
+        return;
+    }
+    this->logged_limit = rate;
+    this->limit_logged_at = now;
+    this->limit_gauge.set(std::llround(rate));
+    this->shared.log.write(log_level::info, event_class::state, "target", "target_limit",
+                           "instance={} limit={} before={} cause={} sent={}",
+                           log_value(this->current.instance), rate, before, cause,
+                           this->requests_sent.value());
+}
+
+void target_host::restore(const target_memory& memory, std::uint64_t started_ms)
+{
+    auto relevant = memory;
+    // What this process has stated itself is no news to it.
+    relevant.left = memory.left && memory.left_stated_by_ms != started_ms;
+    const auto known =
+        std::find_if(this->memories.begin(), this->memories.end(),
+                     [&](const target_memory& other) { return other.instance == memory.instance; });
+    if (known != this->memories.end()) {
+        known->left = known->left || relevant.left;
+        known->limit = relevant.limit;
+    }
+    else if (this->memories.size() < max_memories) {
+        this->memories.push_back(relevant);
+    }
+    if (this->apply_memory() && this->current.state == report_state::ready) {
+        this->set_state(report_state::draining, "remembered");
+    }
+}
+
+bool target_host::apply_memory()
+{
+    const auto found =
+        std::find_if(this->memories.begin(), this->memories.end(), [this](const target_memory& memory) {
+            return memory.instance == this->current.instance;
+        });
+    if (found == this->memories.end()) {
+        return false;
+    }
+    if (found->limit > 0.0) {
+        this->queue.limit().restore(found->limit, boot_now());
+        this->log_limit("remembered");
+    }
+    return found->left;
+}
+
+} // namespace kumquatdrift
--- a/src/mesh/members.cpp
+++ b/src/mesh/members.cpp
@@ -4,6 +4,33 @@
 #include <tuple>
 
 namespace kumquatdrift {
+namespace {
+
+/*! @brief Adds what the record and load of a node state about its target to what is remembered. */
+void remember(target_memory& memory, const member_record& record)
+{
+    if (record.instance.empty()) {
+        return;
+    }
+    if (memory.instance != record.instance) {
+        memory = {record.instance, false, 0, 0.0};
+    }
+    const auto left =
+        record.load.left || record.state == report_state::draining || record.state == report_state::gone;
+    // A restarted process may not know that the target has left. The process that stated it may know of a
+    // later incarnation with the same id.
+    const auto is_later_incarnation = record.started_ms == memory.left_stated_by_ms &&
+                                      record.load.slots > 0 && record.state == report_state::ready;
+    if (left || is_later_incarnation) {
+        memory.left = left;
+        memory.left_stated_by_ms = record.started_ms;
+    }
+    if (record.load.limit) {
+        memory.limit = *record.load.limit;
+    }
+}
+
+} // namespace
 
 bool member_table::merge(const member_record& record, origin from, timestamp now)
 {
@@ -36,6 +63,9 @@
         known.failure_rate = {};
         known.request_sent = false;
     }
+    if (from != origin::store) {
+        remember(known.memory, record);
+    }
     // A record does not state which requests its load includes, so the count of those in transit stays.
     known.load_received_at = now;
     return address_changed;
@@ -46,6 +76,7 @@
 {
     if (auto* known = this->find(node)) {
         known->record.load = load;
+        remember(known->memory, known->record);
         known->load_received_at = now;
         known->requests_arrived =
             std::min(requests_arrived.value_or(known->requests_sent), known->requests_sent);
--- a/src/traffic/placement.cpp
+++ b/src/traffic/placement.cpp
@@ -56,7 +56,8 @@
     double wait{};
     double service{};
     double link_delay{};
-    /*! @brief True if a request sent now starts at once: there is a free slot and no congestion. */
+    /*! @brief True if a request sent now starts at once: there is a free slot, room under the rate limit and
+     * no congestion. */
     bool is_free{};
 };
 
@@ -70,7 +71,9 @@
     const auto busy = static_cast<double>(load.running) + load.queued + candidate.sent_since_load;
     const auto slots = std::max(1.0, static_cast<double>(load.slots));
     const auto backlog = std::max(0.0, busy + 1.0 - slots);
-    const auto wait = target_mean * backlog / slots;
+    const auto limit = load.limit.value_or(0.0);
+    const auto limit_wait = limit > 0.0 ? seconds(load.limit_wait) + candidate.sent_since_load / limit : 0.0;
+    const auto wait = std::max(target_mean * backlog / slots, limit_wait);
     const auto link_delay = seconds(candidate.link_delay);
     return {wait, service, link_delay, wait == 0.0 && link_delay <= ignored_delay * service};
 }
--- a/src/traffic/run_queue.cpp
+++ b/src/traffic/run_queue.cpp
@@ -20,6 +20,11 @@
  * distribution of service times has a long tail, so that half of the requests are shorter than the mean. */
 constexpr double required_service_part = 0.75;
 
+/*! @brief Shortest time before the time given by `useful_until` at which a request has to start under a rate
+ *         limit. Starts are checked in intervals, so that a short request would otherwise be overtaken by its
+ *         deadline, which leaves open whether it has run. */
+constexpr microseconds limited_start_margin{60'000};
+
 /*! @brief Rank of nested calls, before all others. */
 constexpr std::uint32_t nested_rank = 0;
 
@@ -51,14 +56,16 @@
     return {std::min(request.objective, request.deadline), request.id};
 }
 
-microseconds run_queue::estimate_wait(std::size_t ahead) const noexcept
+microseconds run_queue::estimate_wait(std::size_t ahead, timestamp now) const noexcept
 {
+    const auto limit_wait = this->rate_limit.wait(ahead, now);
     if (this->running.size() + ahead < this->slots) {
-        return microseconds{0};
+        return limit_wait;
     }
     const auto backlog = this->running.size() + ahead + 1 - this->slots;
-    return this->mean_service_time * static_cast<microseconds::rep>(backlog) /
-           static_cast<microseconds::rep>(std::max(this->slots, 1U));
+    const auto slot_wait = this->mean_service_time * static_cast<microseconds::rep>(backlog) /
+                           static_cast<microseconds::rep>(std::max(this->slots, 1U));
+    return std::max(slot_wait, limit_wait);
 }
 
 microseconds run_queue::estimate_service_time(const run_request& request) const noexcept
@@ -72,8 +79,11 @@
 bool run_queue::can_finish_in_time(const run_request& request, microseconds wait,
                                    timestamp now) const noexcept
 {
-    const auto service = microseconds{static_cast<microseconds::rep>(
+    auto service = microseconds{static_cast<microseconds::rep>(
         static_cast<double>(this->estimate_service_time(request).count()) * required_service_part)};
+    if (this->rate_limit.rate()) {
+        service = std::max(service, limited_start_margin);
+    }
     return now + wait + service <= useful_until(request, now) && now + wait <= request.start_by;
 }
 
@@ -97,11 +107,12 @@
         this->keys_by_id.contains(request.id)) {
         return run_decision::reject;
     }
-    if (this->queued.empty() && this->running.size() < this->slots) {
+    if (this->queued.empty() && this->running.size() < this->slots && this->rate_limit.try_take(now)) {
         this->running.emplace(request.id, running_request{now, request.expected_service_time});
         return run_decision::run;
     }
-    if (!this->can_finish_in_time(request, this->estimate_wait(this->count_starts_before(request)), now)) {
+    if (!this->can_finish_in_time(request, this->estimate_wait(this->count_starts_before(request), now),
+                                  now)) {
         return run_decision::reject;
     }
     const auto key = priority_key_of(request);
@@ -139,7 +150,7 @@
 
 std::optional<std::uint64_t> run_queue::start_next(timestamp now)
 {
-    if (this->queued.empty() || this->running.size() >= this->slots) {
+    if (this->queued.empty() || this->running.size() >= this->slots || !this->rate_limit.try_take(now)) {
         return std::nullopt;
     }
     const auto starts_earliest_due =
@@ -165,7 +176,13 @@
 {
     std::vector<std::uint64_t> expired{};
     for (const auto& [key, request] : this->queued) {
-        if (!this->can_finish_in_time(request, microseconds{0}, now)) {
+        auto wait = microseconds{0};
+        if (this->rate_limit.rate()) {
+            // More urgent requests may have been queued before it since it was offered.
+            const auto ahead = this->count_starts_before(request);
+            wait = this->rate_limit.wait(ahead - std::min(ahead, expired.size()), now);
+        }
+        if (!this->can_finish_in_time(request, wait, now)) {
             expired.push_back(request.id);
         }
     }
@@ -196,15 +213,21 @@
     return removed;
 }
 
-target_load run_queue::load() const noexcept
+target_load run_queue::load(timestamp now) const noexcept
 {
-    return {static_cast<std::uint32_t>(this->running.size()), static_cast<std::uint32_t>(this->queued.size()),
-            this->slots, this->mean_service_time, this->slowness};
+    const auto limit = this->rate_limit.rate();
+    return {static_cast<std::uint32_t>(this->running.size()),
+            static_cast<std::uint32_t>(this->queued.size()),
+            this->slots,
+            this->mean_service_time,
+            this->slowness,
+            limit || this->rate_limit.is_known() ? std::optional{limit.value_or(0.0)} : std::nullopt,
+            this->rate_limit.wait(this->queued.size(), now)};
 }
 
-microseconds run_queue::time_to_free_slot() const noexcept
+microseconds run_queue::time_to_free_slot(timestamp now) const noexcept
 {
-    return this->estimate_wait(this->queued.size());
+    return this->estimate_wait(this->queued.size(), now);
 }
 
 } // namespace kumquatdrift
--- a/tests/gateway/hop_codec.cpp
+++ b/tests/gateway/hop_codec.cpp
@@ -112,5 +112,45 @@
     EXPECT_EQ(decode(message)->state, report_state::unknown);
 }
 
+TEST(hop_load, round_trip_keeps_limit_and_leave)
+{
+    target_load load{};
+    load.limit = 20.9;
+    load.limit_wait = milliseconds{250};
+    load.left = true;
+    hop::Load message{};
+    encode(load, message);
+    EXPECT_NEAR(*decode(message).limit, 20.9, 0.001);
+    EXPECT_EQ(decode(message).limit_wait, milliseconds{250});
+    EXPECT_TRUE(decode(message).left);
+    load.limit = 1e12;
+    encode(load, message);
+    EXPECT_GT(*decode(message).limit, 1e6);
+}
+
+TEST(hop_load, round_trip_tells_no_limit_from_an_unknown_one)
+{
+    hop::Load message{};
+    encode(target_load{}, message);
+    EXPECT_FALSE(decode(message).limit);
+    target_load load{};
+    load.limit = 0.0;
+    encode(load, message);
+    EXPECT_EQ(decode(message).limit, 0.0);
+    // Nodes of earlier builds state neither.
+    EXPECT_EQ(decode(hop::Load{}).limit, 0.0);
+}
+
+TEST(hop_memory, round_trip_keeps_instance_leave_and_limit)
+{
+    hop::TargetMemory message{};
+    encode(target_memory{"i-1", true, 1'700, 6.5}, message);
+    const auto decoded = decode(message);
+    EXPECT_EQ(decoded.instance, "i-1");
+    EXPECT_TRUE(decoded.left);
+    EXPECT_EQ(decoded.left_stated_by_ms, 1'700U);
+    EXPECT_DOUBLE_EQ(decoded.limit, 6.5);
+}
+
 } // namespace
 } // namespace kumquatdrift
--- a/tests/gateway/target_limit.cpp
+++ b/tests/gateway/target_limit.cpp
@@ -92,5 +92,78 @@
     EXPECT_GE(this->outcomes[attempt_outcome::answered], 80U);
 }
 
+TEST_F(target_that_names_a_limit, rejects_excess_at_once_with_the_time_until_there_is_room)
+{
+    this->notice = "X-Limit: 12\r\n";
+    this->offer_load(seconds{2});
+    ASSERT_GT(this->rejection_delays.size(), 100U);
+    std::sort(this->rejection_delays.begin(), this->rejection_delays.end());
+    EXPECT_LT(this->rejection_delays[this->rejection_delays.size() * 9 / 10], milliseconds{100});
+    EXPECT_GT(this->retry_after, milliseconds{200});
+    EXPECT_LT(this->retry_after, seconds{2});
+}
+
+TEST_F(target_that_names_a_limit, gets_all_requests_again_once_it_names_none)
+{
+    this->notice = "X-Limit: 12\r\n";
+    this->offer_load(seconds{1});
+    this->notice.clear();
+    this->offer_load(seconds{2});
+    const auto before = this->arrivals.size();
+    this->offer_load(seconds{1});
+    EXPECT_GT(this->arrivals.size() - before, 80U);
+}
+
+TEST_F(target_that_names_a_limit, successor_is_not_limited_by_late_responses_of_its_predecessor)
+{
+    this->target.on_request = nullptr;
+    this->host.run(make_target_request("late"), [](const attempt_result&) {});
+    EXPECT_TRUE(this->world.run_until([this] { return this->target.requests.size() == 1; }));
+    EXPECT_TRUE(this->host.on_report(make_report(report_state::ready, 1, 2'000, "i-2")));
+    this->target.requests.front()->respond(
+        {200, "", "X-Id: late\r\nX-Signature: s\r\nX-Limit: 3\r\nX-Leaving: 1\r\n", ""});
+    this->world.run_for(milliseconds{50});
+    EXPECT_EQ(this->host.report().state, report_state::ready);
+    EXPECT_FALSE(this->host.load().limit);
+}
+
+TEST_F(target_that_names_a_limit, limit_from_before_a_restart_of_the_node_is_restored)
+{
+    this->host.restore({"i-1", false, 0, 4.0}, 5'000);
+    EXPECT_EQ(this->host.load().limit, 4.0);
+    this->host.restore({"i-2", false, 0, 7.0}, 5'000);
+    EXPECT_TRUE(this->host.on_report(make_report(report_state::ready, 1, 2'000, "i-2")));
+    EXPECT_EQ(this->host.load().limit, 7.0);
+}
+
+TEST_F(target_that_names_a_limit, response_that_states_that_it_leaves_stops_requests_although_reports_go_on)
+{
+    this->notice = "X-Leaving: 1\r\n";
+    this->offer_load(milliseconds{300});
+    EXPECT_LE(this->arrivals.size(), 2U); // Two slots.
+    EXPECT_TRUE(this->host.on_report(make_report(report_state::ready, 2)));
+    EXPECT_EQ(this->host.report().state, report_state::draining);
+    EXPECT_TRUE(this->host.load().left);
+    const auto before = this->arrivals.size();
+    this->offer_load(milliseconds{300});
+    EXPECT_EQ(this->arrivals.size(), before);
+}
+
+TEST_F(target_that_names_a_limit, leave_from_before_a_restart_of_the_node_is_restored)
+{
+    this->host.restore({"i-1", true, 4'000, 0.0}, 5'000);
+    EXPECT_EQ(this->host.report().state, report_state::draining);
+    EXPECT_TRUE(this->host.on_report(make_report(report_state::ready, 2)));
+    EXPECT_EQ(this->host.report().state, report_state::draining);
+    EXPECT_TRUE(this->host.on_report(make_report(report_state::ready, 1, 2'000)));
+    EXPECT_EQ(this->host.report().state, report_state::ready);
+}
+
+TEST_F(target_that_names_a_limit, leave_that_this_process_stated_itself_is_not_restored)
+{
+    this->host.restore({"i-1", true, 5'000, 0.0}, 5'000);
+    EXPECT_EQ(this->host.report().state, report_state::ready);
+}
+
 } // namespace
 } // namespace kumquatdrift
--- a/tests/mesh/members.cpp
+++ b/tests/mesh/members.cpp
@@ -120,5 +120,78 @@
     EXPECT_EQ(known.sent_since_load(), 1U);
 }
 
+/*! @brief A node whose target has announced that it leaves, and names a limit of 5 requests a second. */
+class node_with_leaving_target : public members {
+protected:
+    node_with_leaving_target()
+    {
+        auto record = record_of(1'000, 5);
+        record.state = report_state::draining;
+        record.load.limit = 5.0;
+        (void)this->table.merge(record, member_table::origin::link, now);
+    }
+
+    void state_ready(std::uint64_t started_ms, const std::string& instance)
+    {
+        auto record = record_of(started_ms, 6);
+        record.instance = instance;
+        record.state = report_state::ready;
+        record.load.slots = 2;
+        (void)this->table.merge(record, member_table::origin::link, now);
+    }
+
+    [[nodiscard]] const member& node()
+    {
+        return *this->table.find("belem-1");
+    }
+};
+
+TEST_F(node_with_leaving_target, is_not_used_again_when_a_restarted_process_does_not_know_that_it_left)
+{
+    this->state_ready(2'000, "i-5");
+    EXPECT_FALSE(this->node().accepts_requests());
+    EXPECT_TRUE(this->node().memory.left);
+    EXPECT_EQ(this->node().memory.limit, 5.0);
+    this->state_ready(2'000, "i-5");
+    EXPECT_FALSE(this->node().accepts_requests());
+}
+
+TEST_F(node_with_leaving_target, is_used_again_when_it_is_another_incarnation)
+{
+    this->state_ready(2'000, "i-6");
+    EXPECT_TRUE(this->node().accepts_requests());
+    EXPECT_EQ(this->node().memory.limit, 0.0);
+}
+
+TEST_F(node_with_leaving_target, is_used_again_when_the_same_process_states_a_later_incarnation)
+{
+    this->state_ready(1'000, "i-5");
+    EXPECT_TRUE(this->node().accepts_requests());
+}
+
+TEST_F(members, target_that_leaves_according_to_a_load_is_not_used)
+{
+    auto record = record_of(1'000, 5);
+    record.state = report_state::ready;
+    record.load.slots = 2;
+    (void)this->table.merge(record, member_table::origin::link, now);
+    EXPECT_TRUE(this->table.find("belem-1")->accepts_requests());
+    target_load load{};
+    load.left = true;
+    this->table.update_load("belem-1", load, std::nullopt, now);
+    EXPECT_FALSE(this->table.find("belem-1")->accepts_requests());
+}
+
+TEST_F(members, wait_for_the_limit_shortens_as_the_load_ages)
+{
+    (void)this->table.merge(record_of(1'000, 5), member_table::origin::link, now);
+    target_load load{};
+    load.limit_wait = milliseconds{500};
+    this->table.update_load("belem-1", load, std::nullopt, now);
+    EXPECT_EQ(this->table.find("belem-1")->load_at(now + milliseconds{200}).limit_wait, milliseconds{300});
+    EXPECT_EQ(this->table.find("belem-1")->load_at(now + std::chrono::seconds{2}).limit_wait,
+              microseconds{0});
+}
+
 } // namespace
 } // namespace kumquatdrift
--- a/tests/process/target_notice_test.py
+++ b/tests/process/target_notice_test.py
@@ -63,6 +63,8 @@
             self.results.append((sent, time.monotonic(), status, retry_after))
             if retry_after:
                 time.sleep(min(float(retry_after), self.longest_wait))
+        if connection:
+            connection.close()
 
 
 class NoticeTest(GatewayTest):
@@ -115,7 +117,7 @@
         served = sum(status == 200 for _, _, status, _ in results)
         self.assertGreaterEqual(served, 0.8 * self.LIMIT * (STABLE_WINDOW_S + WINDOW_S + 1))
         rejected = [(ended - sent, retry_after) for sent, ended, status, retry_after in results if status == 503]
-        self.assertEqual(len(rejected) + served, len(results))
+        self.assertLessEqual({status for _, _, status, _ in results}, {200, 503})
         self.assertTrue(all(float(retry_after) > 0 for _, retry_after in rejected))
         # A rejection doesn't wait for the deadline: 1.9 s.
         self.assertLess(sorted(wait for wait, _ in rejected)[len(rejected) * 9 // 10], 0.5)
--- a/tests/traffic/run_queue.cpp
+++ b/tests/traffic/run_queue.cpp
@@ -70,18 +70,18 @@
         run_one(milliseconds{100}, milliseconds{400}, true);
         run_one(milliseconds{20}, milliseconds{80}, true);
     }
-    EXPECT_NEAR(this->queue.load().slowness, 4.0, 0.1);
+    EXPECT_NEAR(this->queue.load(start).slowness, 4.0, 0.1);
     // A quick failure gives no information on the speed; a failure after a long time does.
     for (int turn = 0; turn < 50; ++turn) {
         run_one(milliseconds{100}, milliseconds{1}, false);
     }
-    EXPECT_NEAR(this->queue.load().slowness, 4.0, 0.1);
+    EXPECT_NEAR(this->queue.load(start).slowness, 4.0, 0.1);
     for (int turn = 0; turn < 50; ++turn) {
         run_one(milliseconds{100}, milliseconds{800}, false);
     }
-    EXPECT_NEAR(this->queue.load().slowness, 8.0, 0.2);
+    EXPECT_NEAR(this->queue.load(start).slowness, 8.0, 0.2);
     this->queue.reset_estimates();
-    EXPECT_EQ(this->queue.load().slowness, 1.0);
+    EXPECT_EQ(this->queue.load(start).slowness, 1.0);
 }
 
 TEST_F(queue_of_two_slots, request_is_queued_when_all_slots_are_in_use)
@@ -89,7 +89,7 @@
     this->fill_slots();
     EXPECT_EQ(this->queue.offer(request_of(3, 1, milliseconds{500}, milliseconds{900}), start),
               run_decision::queue);
-    const auto load = this->queue.load();
+    const auto load = this->queue.load(start);
     EXPECT_EQ(load.running, 2U);
     EXPECT_EQ(load.queued, 1U);
     EXPECT_EQ(load.slots, 2U);
@@ -141,7 +141,7 @@
               run_decision::queue);
     EXPECT_TRUE(this->queue.expire(start + milliseconds{200}).empty());
     EXPECT_EQ(this->queue.expire(start + milliseconds{230}), std::vector<std::uint64_t>{3});
-    EXPECT_EQ(this->queue.load().queued, 0U);
+    EXPECT_EQ(this->queue.load(start).queued, 0U);
 }
 
 TEST_F(queue_of_two_slots, late_request_is_queued_for_a_fifth_of_its_time)
