Count requests of other nodes in the wait for a rate limit

A simulation of 12 nodes and nine targets (tests/traffic/limited_targets) shows what placement makes of rate limits: the wait for a limit, as a node last reported it, shortened at full speed as the report aged, so that all nodes found room for the same request.

--- a/include/kumquatdrift/mesh/members.hpp
+++ b/include/kumquatdrift/mesh/members.hpp
@@ -182,14 +182,15 @@
     }
 
     /**
-     * @brief Returns the latest load, with the wait for the rate limit as of now.
+     * @brief Returns the latest load, with the wait for the rate limit as of now. Half of the time since then
+     *        is assumed to have been used by requests of other nodes.
      * @param now Current time.
      * @return Load.
      */
     [[nodiscard]] target_load load_at(timestamp now) const noexcept
     {
         auto load = this->record.load;
-        load.limit_wait = std::max(load.limit_wait - (now - this->load_received_at), microseconds{0});
+        load.limit_wait = std::max(load.limit_wait - (now - this->load_received_at) / 2, microseconds{0});
         return load;
     }
 
