End calls whose response goes on without end

A server in trouble may send bytes without end, in a head or a body, until the caller closes. A Content-Length over the body limit whose first body bytes came with the head ended the process with std::bad_alloc: Beast goes on to the body after the error of its own check. Found by the test; callers would have lost all requests of the node.

- http_reader rejects an unfinished chunk header or trailer over the header limit, and framing of more than 8 bytes for each body byte; checks the stated length itself, and reserves 64 KiB of it at most.
- http_client ends a call as malformed after 16 interim or foreign responses, and when all incomplete bodies together exceed 32 MiB (12 to 18 slots of 16 MiB each would exceed the 160 MB of a node).

A call that ends so may have run, as with every malformed response.

--- a/include/kumquatdrift/http/message.hpp
+++ b/include/kumquatdrift/http/message.hpp
@@ -146,6 +146,8 @@
 
     kind message_kind;
     std::size_t max_header;
+    /*! @brief Bytes of the current message that have been parsed. */
+    std::size_t consumed{};
     std::size_t max_body;
     bool skip_body{};
     std::unique_ptr<parser> current_parser;
--- a/src/gateway/http_client.cpp
+++ b/src/gateway/http_client.cpp
@@ -16,6 +16,10 @@
  * requests from being sent while the server closes the connection. */
 constexpr double usable_share = 0.6;
 
+/*! @brief Maximum number of interim responses and of responses to other requests before the response of a
+ * call; a server that sends more may go on without end. */
+constexpr std::uint32_t max_skipped_responses = 16;
+
 /*! @brief Returns the timeout in the `Keep-Alive` header, if there is one. */
 std::optional<microseconds> keep_alive_timeout(const http_message& response)
 {
@@ -113,25 +117,38 @@
             this->finish(id, call_outcome::malformed, {}, call.reader.failure_reason(), false);
             return;
         }
-        if (progress == read_progress::need_more) {
-            return;
+        if (progress == read_progress::complete) {
+            this->on_response(id, buffer);
+            continue;
+        }
+        this->set_buffered(call, call.reader.partial().body.size());
+        if (this->settings.max_buffered > 0 && this->total_buffered > this->settings.max_buffered) {
+            this->finish(id, call_outcome::malformed, {}, "incomplete responses exceed the limit", false);
         }
-        this->on_response(id, buffer);
+        return;
     }
 }
 
+void http_client::set_buffered(active_call& call, std::size_t bytes) noexcept
+{
+    this->total_buffered += bytes - call.buffered;
+    call.buffered = bytes;
+}
+
 void http_client::on_response(std::uint64_t id, std::string& buffer)
 {
     auto& call = this->calls.at(id);
     auto response = call.reader.take();
     call.reader.reset(call.request.no_body);
-    if (response.status >= 100 && response.status < 200) {
-        return;
-    }
+    const auto is_interim = response.status >= 100 && response.status < 200;
     const auto* echoed_id =
         call.request.id_field.empty() ? nullptr : find_field(response.fields, call.request.id_field);
-    if (echoed_id != nullptr && *echoed_id != call.request.id) {
-        call.discarded_response = true;
+    const auto is_foreign = echoed_id != nullptr && *echoed_id != call.request.id;
+    if (is_interim || is_foreign) {
+        call.discarded_response = call.discarded_response || is_foreign;
+        if (++call.skipped_responses > max_skipped_responses) {
+            this->finish(id, call_outcome::malformed, {}, "too many other responses", false);
+        }
         return;
     }
     const auto request_sent = call.connection->unsent() == 0;
@@ -159,6 +176,7 @@
 {
     auto node = this->calls.extract(id);
     auto& call = node.mapped();
+    this->set_buffered(call, 0);
     this->loop.cancel(call.timer);
     if (call.connection) {
         if (reusable && call.generation == this->generation) {
@@ -223,6 +241,7 @@
     if (node.empty()) {
         return;
     }
+    this->set_buffered(node.mapped(), 0);
     this->loop.cancel(node.mapped().timer);
     if (node.mapped().connection) {
         node.mapped().connection->abort();
--- a/src/gateway/http_client.hpp
+++ b/src/gateway/http_client.hpp
@@ -81,6 +81,8 @@
     std::size_t max_header{65'536};
     /*! @brief Maximum size of a response body in bytes. */
     std::size_t max_body{};
+    /*! @brief Maximum size of the bodies of all incomplete responses together in bytes; 0 for no limit. */
+    std::size_t max_buffered{};
 };
 
 /*! @brief HTTP/1.1 client for one address. It reuses connections, but doesn't pipeline requests on them. */
@@ -146,6 +148,10 @@
         bool sent{};
         /*! @brief True once a response to an earlier request arrived, so the connection isn't reused. */
         bool discarded_response{};
+        /*! @brief Number of interim responses and of responses to other requests. */
+        std::uint32_t skipped_responses{};
+        /*! @brief Bytes of the incomplete body that count towards `max_buffered`. */
+        std::size_t buffered{};
         /*! @brief Generation of the client when the call began. */
         std::uint64_t generation{};
     };
@@ -159,6 +165,7 @@
     void send(std::uint64_t id);
     void open(std::uint64_t id);
     void on_data(std::uint64_t id, std::string& buffer);
+    void set_buffered(active_call& call, std::size_t bytes) noexcept;
     void on_response(std::uint64_t id, std::string& buffer);
     void on_closed(std::uint64_t id, bool orderly, const std::string& cause);
     void finish(std::uint64_t id, call_outcome outcome, http_message response, std::string cause,
@@ -172,6 +179,7 @@
     std::unordered_map<std::uint64_t, active_call> calls{};
     std::list<idle_connection> idle{};
     std::uint64_t last_id{};
+    std::size_t total_buffered{};
     std::uint64_t connections_opened{};
     /*! @brief Incremented by `close_idle`. Connections of calls from an earlier generation aren't reused. */
     std::uint64_t generation{};
--- a/src/gateway/target_host.cpp
+++ b/src/gateway/target_host.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t max_idle_connections = 64;
 /*! @brief Maximum size of a response body in bytes; a response is buffered until it is complete. */
 constexpr std::size_t max_response_bytes = 16'777'216;
+/*! @brief Maximum size of all incomplete response bodies together in bytes. Responses without end on all
+ * slots would otherwise exceed the memory limit of the process. */
+constexpr std::size_t max_buffered_bytes = 33'554'432;
 /*! @brief Maximum idle time of a connection that is reused for a non-idempotent request. */
 constexpr microseconds max_idle_non_idempotent{2'000'000};
 /*! @brief Maximum idle time of a connection that is reused for an idempotent request; the keep-alive timeout
@@ -38,7 +41,8 @@
 target_host::target_host(const dependencies& common, std::string name, microseconds interval,
                          std::function<void()> changed)
     : shared{common}, node{std::move(name)}, report_interval{interval}, on_change{std::move(changed)},
-      client{common.loop, {connect_timeout, max_idle_connections, 65'536, max_response_bytes}},
+      client{common.loop,
+             {connect_timeout, max_idle_connections, 65'536, max_response_bytes, max_buffered_bytes}},
       limit_gauge{common.metrics.gauge_of(
           "gateway_target_limit",
           "Requests per second that the target accepts, rounded; 0 if it names no limit")},
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -25,6 +25,13 @@
     "Connection", "Keep-Alive",        "Proxy-Connection", "TE",    "Trailer",
     "Upgrade",    "Transfer-Encoding", "Content-Length",   "Expect"};
 
+/*! @brief Largest part of a stated body length for which memory is reserved before the body arrives. */
+constexpr std::uint64_t max_reserved_bytes = 65'536;
+
+/*! @brief Bytes of chunk sizes, extensions and line ends that are accepted for each byte of a body; chunks of
+ * one byte have five. They are also accepted up to the header limit. */
+constexpr std::size_t framing_per_body_byte = 8;
+
 std::string_view view(boost::beast::string_view text) noexcept
 {
     return {text.data(), text.size()};
@@ -35,6 +42,7 @@
 public:
     http_message message{};
     bool no_body{};
+    std::size_t max_body{};
 
 private:
     void on_request_impl(http::verb, boost::beast::string_view method, boost::beast::string_view target, int,
@@ -66,12 +74,17 @@
         }
     }
 
-    void on_body_init_impl(const boost::optional<std::uint64_t>& length, error_code&) override
+    void on_body_init_impl(const boost::optional<std::uint64_t>& length, error_code& error) override
     {
-        if (length) {
-            // The parser has already checked the length against the body limit.
-            this->message.body.reserve(static_cast<std::size_t>(*length));
+        if (!length) {
+            return;
+        }
+        // Beast checks the length too, but goes on to the body if bytes of it are in the same buffer.
+        if (*length > this->max_body) {
+            error = http::error::body_limit;
+            return;
         }
+        this->message.body.reserve(static_cast<std::size_t>(std::min(*length, max_reserved_bytes)));
     }
 
     std::size_t on_body_impl(boost::beast::string_view text, error_code&) override
@@ -124,6 +137,7 @@
             active.header_limit(static_cast<std::uint32_t>(header_limit));
             active.body_limit(body_limit);
             active.no_body = no_body;
+            active.max_body = body_limit;
         };
         if (of_message == kind::request) {
             configure(this->request.emplace());
@@ -191,8 +205,21 @@
 read_progress http_reader::feed(std::string& buffer)
 {
     error_code error{};
-    const auto progress =
+    const auto size_before = buffer.size();
+    auto progress =
         this->current_parser->visit([&](auto& active) { return feed_parser(active, buffer, error); });
+    this->consumed += size_before - buffer.size();
+    if (progress == read_progress::need_more && this->header_complete()) {
+        const auto body_size = this->partial().body.size();
+        const auto framing = this->consumed - std::min(this->consumed, body_size);
+        // An unfinished chunk header or trailer stays in the buffer.
+        if (buffer.size() > this->max_header ||
+            framing > 2 * this->max_header + framing_per_body_byte * body_size) {
+            this->error_status = 400U;
+            this->error_reason = "chunk framing exceeds the limit";
+            return read_progress::failed;
+        }
+    }
     if (progress == read_progress::failed) {
         this->error_status = error == http::error::header_limit ? 431U
                              : error == http::error::body_limit ? 413U
@@ -230,6 +257,7 @@
 void http_reader::reset(bool no_body)
 {
     this->skip_body = no_body;
+    this->consumed = 0;
     this->current_parser =
         std::make_unique<parser>(this->message_kind, this->max_header, this->max_body, no_body);
 }
--- a/tests/gateway/http_client.cpp
+++ b/tests/gateway/http_client.cpp
@@ -1,7 +1,10 @@
 #include <gateway/http_client.hpp>
 
+#include <algorithm>
 #include <array>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -28,6 +31,8 @@
         call_request request{};
         request.bytes = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
         request.deadline = boot_now() + timeout;
+        request.id_field = "X-Id";
+        request.id = "r1";
         return this->client.call(std::move(request),
                                  [this](call_result result) { this->last_result = std::move(result); });
     }
@@ -86,5 +91,107 @@
     EXPECT_EQ(this->end_of_connection(), boost::asio::error::eof);
 }
 
+/*! @brief A response that never ends: bytes at its start, and bytes that repeat until the caller closes. */
+struct endless_response {
+    std::string name{};
+    std::string start{};
+    std::string repeated{};
+};
+
+class http_client_with_endless_response : public http_client_with_raw_peer,
+                                          public testing::WithParamInterface<endless_response> {
+protected:
+    /*! @brief Largest number of bytes that are read: the limits of the client, its read buffer, and the
+     * buffers of both sockets. */
+    static constexpr std::size_t max_bytes = 12'582'912;
+};
+
+// Guards against a call that reads until its deadline, or without a bound on memory.
+TEST_P(http_client_with_endless_response, call_ends_as_malformed_and_the_connection_is_closed)
+{
+    (void)this->call(std::chrono::seconds{20});
+    this->accept();
+    this->peer.non_blocking(true);
+    std::string block{};
+    while (block.size() < 65'536) {
+        block += GetParam().repeated;
+    }
+    error_code error{};
+    std::size_t sent = boost::asio::write(this->peer, boost::asio::buffer(GetParam().start), error);
+    std::size_t offset{};
+    (void)this->world.run_until(
+        [&] {
+            while (!error && sent < 2 * max_bytes) {
+                const auto count = this->peer.write_some(
+                    boost::asio::buffer(block.data() + offset, block.size() - offset), error);
+                sent += count;
+                offset = (offset + count) % block.size();
+            }
+            if (error == boost::asio::error::would_block) {
+                error = {};
+            }
+            return this->last_result.has_value();
+        },
+        std::chrono::seconds{8});
+    ASSERT_TRUE(this->last_result) << sent;
+    EXPECT_EQ(this->last_result->outcome, call_outcome::malformed);
+    EXPECT_LT(sent, max_bytes);
+    EXPECT_TRUE(this->world.run_until([&] {
+        (void)this->peer.write_some(boost::asio::buffer(block), error);
+        return error && error != boost::asio::error::would_block;
+    }));
+}
+
+const std::string chunked_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    responses, http_client_with_endless_response,
+    testing::Values(endless_response{"line", "", "x"}, endless_response{"status_line", "HTTP/1.1 200 ", "x"},
+                    endless_response{"field", "HTTP/1.1 200 OK\r\nA: ", "x"},
+                    endless_response{"fields", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+                    endless_response{"body_until_close", "HTTP/1.1 200 OK\r\n\r\n", "x"},
+                    endless_response{"body_of_great_length",
+                                     "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999\r\n\r\n", "x"},
+                    endless_response{"chunks", chunked_head, "4\r\nabcd\r\n"},
+                    endless_response{"chunk_size", chunked_head, "0"},
+                    endless_response{"chunk_extension", chunked_head + "4;a=", "x"},
+                    endless_response{"chunk_extensions", chunked_head,
+                                     "1;a=bbbbbbbbbbbbbbbbbbbbbbbbbbbbbb\r\nc\r\n"},
+                    endless_response{"trailers", chunked_head + "0\r\n", "A: b\r\n"},
+                    endless_response{"interim_responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+                    endless_response{"responses_to_other_requests", "",
+                                     "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n"}),
+    [](const auto& tested) { return tested.param.name; });
+
+// Guards against responses without end on all slots, which together exceed the memory of the process.
+TEST_F(http_client_with_raw_peer, incomplete_responses_together_stay_under_the_limit)
+{
+    http_client small{this->world.loop, {std::chrono::seconds{1}, 8, 65'536, 1'048'576, 100'000}};
+    small.set_address(this->client.address());
+    std::vector<call_outcome> outcomes{};
+    std::vector<tcp::socket> peers{};
+    for (int count = 0; count < 3; ++count) {
+        call_request request{};
+        request.bytes = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+        request.deadline = boot_now() + std::chrono::seconds{5};
+        (void)small.call(std::move(request),
+                         [&](const call_result& result) { outcomes.push_back(result.outcome); });
+        peers.emplace_back(this->world.loop.context());
+        this->acceptor.accept(peers.back());
+    }
+    for (auto& each : peers) {
+        boost::asio::write(each, boost::asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" +
+                                                     std::string(50'000, 'x')));
+    }
+    EXPECT_TRUE(this->world.run_until([&] { return !outcomes.empty(); }));
+    EXPECT_EQ(outcomes, std::vector{call_outcome::malformed});
+    for (auto& each : peers) {
+        error_code ignored{};
+        boost::asio::write(each, boost::asio::buffer(std::string(10'000, 'x')), ignored);
+    }
+    EXPECT_TRUE(this->world.run_until([&] { return outcomes.size() == 3; }));
+    EXPECT_EQ(std::count(outcomes.begin(), outcomes.end(), call_outcome::answered), 2);
+}
+
 } // namespace
 } // namespace kumquatdrift
--- a/tests/http/message.cpp
+++ b/tests/http/message.cpp
@@ -120,5 +120,28 @@
               "close\r\n\r\nno");
 }
 
+TEST_F(http_reader_of_requests, body_over_the_limit_is_rejected_although_bytes_of_it_follow_the_header)
+{
+    EXPECT_EQ(this->feed("POST / HTTP/1.1\r\nContent-Length: 99999999999999\r\n\r\nx"),
+              read_progress::failed);
+}
+
+TEST_F(http_reader_of_responses, body_over_the_limit_is_rejected_although_bytes_of_it_follow_the_header)
+{
+    EXPECT_EQ(this->feed("HTTP/1.1 200 OK\r\nContent-Length: 99999999999999\r\n\r\nx"),
+              read_progress::failed);
+}
+
+TEST_F(http_reader_of_responses, chunks_of_one_byte_are_not_taken_for_excessive_framing)
+{
+    std::string buffer{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"};
+    for (int count = 0; count < 900; ++count) {
+        buffer += "1\r\nx\r\n";
+        ASSERT_EQ(this->reader.feed(buffer), read_progress::need_more);
+    }
+    buffer += "0\r\n\r\n";
+    EXPECT_EQ(this->reader.feed(buffer), read_progress::complete);
+}
+
 } // namespace
 } // namespace kumquatdrift
