Close connections to targets after a response without id

A target that sheds a request doesn't echo its id. A late second copy of such a response, on a connection that was in use again, was taken for the response to the next request, which was reported as not run (503, or sent to another target) although its target was at work on it. Shown by http_client_with_raw_peer.connection_is_not_reused_after_a_response_without_id, which failed before: the next call ended with the second copy. Second copies of responses with an id were discarded already.

--- a/src/gateway/http_client.cpp
+++ b/src/gateway/http_client.cpp
@@ -152,7 +152,10 @@
         return;
     }
     const auto request_sent = call.connection->unsent() == 0;
-    const auto reusable = response.keep_alive && request_sent && buffer.empty() && !call.discarded_response;
+    // A second copy of a response without id could not be told from the response to the next call.
+    const auto identified = call.request.id_field.empty() || echoed_id != nullptr;
+    const auto reusable =
+        response.keep_alive && request_sent && buffer.empty() && identified && !call.discarded_response;
     this->finish(id, call_outcome::answered, std::move(response), "", reusable);
 }
 
--- a/tests/gateway/http_client.cpp
+++ b/tests/gateway/http_client.cpp
@@ -31,6 +31,7 @@
         call_request request{};
         request.bytes = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
         request.deadline = boot_now() + timeout;
+        request.max_idle = std::chrono::seconds{1};
         request.id_field = "X-Id";
         request.id = "r1";
         return this->client.call(std::move(request),
@@ -91,6 +92,23 @@
     EXPECT_EQ(this->end_of_connection(), boost::asio::error::eof);
 }
 
+// Guards against a late second copy of a response without id that the next call takes for its own.
+TEST_F(http_client_with_raw_peer, connection_is_not_reused_after_a_response_without_id)
+{
+    const std::string response{"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"};
+    (void)this->call(std::chrono::seconds{5});
+    this->accept();
+    boost::asio::write(this->peer, boost::asio::buffer(response));
+    EXPECT_TRUE(this->world.run_until([this] { return this->last_result.has_value(); }));
+    this->last_result.reset();
+    (void)this->call(std::chrono::seconds{5});
+    this->world.run_for(milliseconds{20});
+    error_code ignored{};
+    boost::asio::write(this->peer, boost::asio::buffer(response), ignored);
+    this->world.run_for(milliseconds{50});
+    EXPECT_FALSE(this->last_result);
+}
+
 /*! @brief A response that never ends: bytes at its start, and bytes that repeat until the caller closes. */
 struct endless_response {
     std::string name{};
