Finish responses to slow callers before the process stops

A node that was stopped ended once no request was in flight, although a response could still wait in the process for its caller to read: the caller got 5,469,585 of 8,000,000 bytes. Shown by GatewayProcess.test_stop_completes_a_response_that_its_caller_reads_slowly, which failed before. The node now waits until all responses have been passed to the network, at most until the margin before it is killed.

--- a/src/gateway/http_server.cpp
+++ b/src/gateway/http_server.cpp
@@ -1,5 +1,6 @@
 #include "http_server.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <kumquatdrift/core/boot_clock.hpp>
@@ -41,6 +42,10 @@
         this->exchange->session.reset();
         this->exchange.reset();
         if (last) {
+            if (this->connection->unsent() > 0) {
+                this->server.remove_closed();
+                this->server.closing.push_back(this->connection);
+            }
             this->connection->close_when_sent();
             this->remove();
             return;
@@ -54,6 +59,11 @@
         this->connection->close();
     }
 
+    [[nodiscard]] bool has_unsent_response() const noexcept
+    {
+        return this->connection->unsent() > 0;
+    }
+
 private:
     void on_data(std::string& buffer)
     {
@@ -204,6 +214,22 @@
     session->start();
 }
 
+void http_server::remove_closed()
+{
+    std::erase_if(this->closing, [](const std::weak_ptr<socket_stream>& entry) {
+        const auto connection = entry.lock();
+        return !connection || !connection->is_open() || connection->unsent() == 0;
+    });
+}
+
+bool http_server::has_unsent_responses()
+{
+    this->remove_closed();
+    return !this->closing.empty() ||
+           std::any_of(this->sessions.begin(), this->sessions.end(),
+                       [](const auto& session) { return session->has_unsent_response(); });
+}
+
 void http_server::close()
 {
     this->listener.close();
--- a/src/gateway/http_server.hpp
+++ b/src/gateway/http_server.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 #include <kumquatdrift/core/result.hpp>
 #include <kumquatdrift/http/message.hpp>
@@ -114,6 +115,10 @@
         return this->buffered_body_bytes;
     }
 
+    /*! @brief Returns true while a response has not been passed to the network completely, because its caller
+     *         reads slowly. */
+    [[nodiscard]] bool has_unsent_responses();
+
     /*! @brief Returns the number of open connections. */
     [[nodiscard]] std::size_t connections() const noexcept
     {
@@ -122,6 +127,7 @@
 
 private:
     friend class http_session;
+    void remove_closed();
     void accept(const socket_stream::pointer& connection);
 
     event_loop& loop;
@@ -132,6 +138,8 @@
     std::size_t buffered_body_bytes{};
     tcp_listener listener;
     std::unordered_set<std::shared_ptr<http_session>> sessions{};
+    /*! @brief Connections that close once their last response has been sent. */
+    std::vector<std::weak_ptr<socket_stream>> closing{};
     bool draining{};
 };
 
--- a/tests/process/gateway_test.py
+++ b/tests/process/gateway_test.py
@@ -373,6 +373,32 @@
             self.assertEqual(self.executions(attempt), 1 if outcome == 200 else 0, outcome)
         self.assertEqual(self.nodes[0].process.returncode, 0)
 
+    def test_stop_completes_a_response_that_its_caller_reads_slowly(self):
+        size = 8_000_000
+
+        def send_long_response(handler, attempt):
+            handler.respond(attempt, b"x" * size)
+            return True
+
+        self.targets[0].on_request = send_long_response
+        caller = socket.socket()
+        self.addCleanup(caller.close)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        caller.connect((self.nodes[0].ip, self.nodes[0].callers))
+        caller.sendall(b"GET /read/x HTTP/1.1\r\nHost: desk.example\r\nX-Kumquatdrift-Attempt-Id: long\r\n"
+                       b"X-Kumquatdrift-Deadline-Ms: 2000\r\n\r\n")
+        received = len(caller.recv(1000))
+        self.nodes[0].signal(signal.SIGTERM)
+        stopped = time.monotonic()
+        # Less than half has been read when the node no longer accepts requests, 2.6 s after the signal.
+        while time.monotonic() < stopped + 4:
+            received += len(caller.recv(20_000))
+            time.sleep(0.02)
+        while block := caller.recv(1_000_000):
+            received += len(block)
+        self.assertGreater(received, size)
+        self.assertEqual(self.nodes[0].process.wait(GRACE_S), 0)
+
     def test_suspended_node_serves_again(self):
         self.nodes[0].signal(signal.SIGSTOP)
         time.sleep(2.5)
