Finish responses to other nodes before the process stops

A node that was stopped ended once no request was in flight, although a response to another node could still wait in the queue of a slow link or in the socket, whose bytes are lost when the process ends with unread pings in it: the other node got 2,531,079 of 8,000,000 bytes, so that its caller got 502 for a request that had run. Shown by GatewayProcess.test_stop_completes_a_response_to_a_node_whose_link_is_slow, which failed before. The node now waits until the links of other nodes are empty and acknowledged, at most until the margin before it is killed.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -409,7 +409,8 @@
     {
         const auto stopping_for = now - *this->stopping_since;
         const auto idle = this->router.in_flight() == 0 && this->local_target.in_flight() == 0 &&
-                          !this->caller_server.has_unsent_responses();
+                          !this->caller_server.has_unsent_responses() &&
+                          !this->peer_nodes.has_unsent_responses();
         if (stopping_for >= this->settings.grace - margin_before_kill) {
             this->router.abort_in_flight();
             this->loop.stop();
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -323,6 +323,13 @@
                                                   [](const auto& entry) { return entry.second.reachable; }));
 }
 
+bool peers::has_unsent_responses() const
+{
+    return std::any_of(this->inbound_links.begin(), this->inbound_links.end(), [](const auto& link) {
+        return link->is_open() && (link->unsent() > 0 || link->unacknowledged() > 0);
+    });
+}
+
 void peers::on_peer_version(const std::string& node, std::uint32_t version)
 {
     if (auto* known = this->table.find(node)) {
--- a/src/gateway/peers.hpp
+++ b/src/gateway/peers.hpp
@@ -126,6 +126,10 @@
         this->serving = false;
     }
 
+    /*! @brief Returns true while a response to another node has not arrived at its host completely; what it
+     * has not acknowledged may be lost when this process ends. */
+    [[nodiscard]] bool has_unsent_responses() const;
+
     /*! @brief Returns all known nodes. */
     [[nodiscard]] member_table& members() noexcept
     {
--- a/tests/process/gateway_test.py
+++ b/tests/process/gateway_test.py
@@ -15,7 +15,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
-from gateway_standins import FakePeer, Store, Target  # noqa: E402
+from gateway_standins import FakePeer, Store, Target, encode_message  # noqa: E402
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 BINARY = pathlib.Path(os.environ.get("BUILD_DIR", ROOT / "build")) / "bin" / "kumquatdrift-gateway"
@@ -399,6 +399,40 @@
         self.assertGreater(received, size)
         self.assertEqual(self.nodes[0].process.wait(GRACE_S), 0)
 
+    def test_stop_completes_a_response_to_a_node_whose_link_is_slow(self):
+        size = 8_000_000
+
+        def send_long_response(handler, attempt):
+            handler.respond(attempt, b"x" * size)
+            return True
+
+        node = self.nodes[2]
+        self.targets[2].on_request = send_long_response
+        peer = FakePeer("slow-peer", "127.0.0.40", 5, node.settings["listen"]["peers"])
+        self.addCleanup(peer.close)
+        link = socket.socket()
+        self.addCleanup(link.close)
+        link.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        link.connect((node.ip, int(node.settings["listen"]["peers"].split(":")[1])))
+        FakePeer.send(link, peer.hello)
+        FakePeer.send(link, encode_message([(3, encode_message([
+            (1, 1), (2, b"board"), (3, b"long"), (4, b"GET"), (5, b"/board/x"),
+            (6, b"X-Kumquatdrift-Attempt-Id: long\r\n"), (8, 2000), (9, 2000), (12, b"desk")]))]))
+        received = len(link.recv(1000))
+        wait_until(lambda: self.executions("long") == 1, "the request runs")
+        node.signal(signal.SIGTERM)
+        stopped = time.monotonic()
+        try:
+            while time.monotonic() < stopped + 4:
+                received += len(link.recv(20_000))
+                time.sleep(0.02)
+            while block := link.recv(1_000_000):
+                received += len(block)
+        except ConnectionResetError:
+            pass  # After its last byte, the node may reset the link.
+        self.assertGreater(received, size)
+        self.assertEqual(node.process.wait(GRACE_S), 0)
+
     def test_suspended_node_serves_again(self):
         self.nodes[0].signal(signal.SIGSTOP)
         time.sleep(2.5)
