Reset a link that is given up, and add a soak

Shown by node_with_silent_peer.request_that_waits_on_a_link_given_up_does_not_arrive_later, which failed before: the connection ended in order instead of with a reset.

tests/process/soak_test.py: five nodes that are killed, stopped, suspended and reloaded, targets that name limits, leave and truncate, lose, double or never end answers, changes of the configuration, callers on kept connections.

--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -64,7 +64,8 @@
 {
     this->on_closed = {};
     this->on_frame = {};
-    this->connection->close();
+    // Resets the connection: requests that wait on the link have been reported as lost and must not arrive later.
+    this->connection->abort();
 }
 
 microseconds peer_link::queueing_delay(std::uint64_t sent_us, timestamp now) noexcept
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -68,7 +68,7 @@
      */
     void send(hop::Frame& frame);
 
-    /*! @brief Closes the link. No callback is called afterwards. */
+    /*! @brief Resets the link, so that unsent frames are dropped. No callback is called afterwards. */
     void close();
 
     /*! @brief Checks whether frames can be sent. */
--- /dev/null
+++ b/tests/gateway/silent_link.cpp
@@ -0,0 +1,84 @@
+#include <array>
+#include <optional>
+#include <string>
+
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <gateway/hop_codec.hpp>
+#include <gateway/peers.hpp>
+#include <support/gateway_world.hpp>
+
+namespace kumquatdrift {
+namespace {
+
+using boost::asio::ip::tcp;
+
+/*! @brief A node with a link to another one that doesn't read and answers no ping. */
+class node_with_silent_peer : public testing::Test {
+protected:
+    node_with_silent_peer()
+    {
+        this->acceptor.set_option(boost::asio::socket_base::receive_buffer_size{16'384});
+        this->acceptor.bind({boost::asio::ip::make_address_v4("127.0.0.1"), 0});
+        this->acceptor.listen();
+        member_record other{};
+        other.node = "other";
+        other.ip = "127.0.0.1";
+        other.port = this->acceptor.local_endpoint().port();
+        this->links.on_member(other);
+        this->acceptor.async_accept(
+            this->raw, [this](const boost::system::error_code& error) { this->accepted = !error; });
+        EXPECT_TRUE(this->world.run_until([this] { return this->accepted; }));
+        hop::Frame hello{};
+        encode(other, *hello.mutable_hello()->mutable_self());
+        std::string bytes{};
+        append_frame(hello, bytes);
+        boost::asio::write(this->raw, boost::asio::buffer(bytes));
+        EXPECT_TRUE(this->world.run_until([this] { return this->links.reachable_count() == 1; }));
+    }
+
+    gateway_world world{};
+    tcp::acceptor acceptor{this->world.loop.context(), tcp::v4()};
+    tcp::socket raw{this->world.loop.context()};
+    bool accepted{};
+    target_host host{{this->world.loop, this->world.platform, this->world.log, this->world.metrics,
+                      this->world.quarantine},
+                     "node",
+                     std::chrono::seconds{60},
+                     [] {}};
+    random_engine rng{1};
+    peers links{{this->world.loop, this->world.log, this->host, this->world.quarantine, this->rng,
+                 this->world.metrics},
+                [] {
+                    member_record own{};
+                    own.node = "node";
+                    own.ip = "127.0.0.1";
+                    own.port = 8;
+                    return own;
+                },
+                [](std::uint32_t, const std::string&) {}};
+};
+
+// Guards against requests that reach their target after their callers were told that they are lost.
+TEST_F(node_with_silent_peer, request_that_waits_on_a_link_given_up_does_not_arrive_later)
+{
+    auto request = std::make_shared<target_request>(*make_target_request("r1", false));
+    request->deadline = boot_now() + std::chrono::seconds{9};
+    request->body = std::string(3'000'000, 'x');
+    std::optional<attempt_outcome> outcome{};
+    EXPECT_NE(
+        this->links.run("other", request, [&](const attempt_result& result) { outcome = result.outcome; }),
+        0U);
+    EXPECT_TRUE(this->world.run_until([&] { return outcome.has_value(); }, std::chrono::seconds{8}));
+    EXPECT_EQ(outcome, attempt_outcome::lost);
+    boost::system::error_code error{};
+    std::array<char, 65'536> chunk{};
+    while (!error) {
+        (void)this->raw.read_some(boost::asio::buffer(chunk), error);
+    }
+    EXPECT_EQ(error, boost::asio::error::connection_reset);
+}
+
+} // namespace
+} // namespace kumquatdrift
--- /dev/null
+++ b/tests/process/soak_test.py
@@ -0,0 +1,253 @@
+"""Seeded soak of gateway processes: targets that name limits, leave and send bad bytes, while nodes are killed, stopped,
+suspended and reloaded and the configuration changes. `soak_test.py --seed N --seconds S` runs one seed."""
+
+import argparse
+import collections
+import http.client
+import os
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import threading
+import time
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+
+from gateway_standins import Store, Target  # noqa: E402
+from gateway_test import DRAIN_S, ROUTES, SERVICES, Node, wait_until  # noqa: E402
+from target_notice_test import STABLE_WINDOW_S, WINDOW_S, allowed  # noqa: E402
+
+SERVICE_OF_NODE = ["desk", "desk", "board", "desk", "board"]
+
+
+class SoakTarget(Target):
+    """A target that spoils some answers. `limits` and `told` record what it has stated, and when."""
+
+    def __init__(self, node, rng):
+        self.rng = rng
+        self.faults = collections.Counter()
+        self.spoiled = set()
+        self.limits = []  # (time, limit or None)
+        self.told = {}  # Name of the entry node -> time of the first answer with Server-Leaving.
+        super().__init__(node.ip, node.reports, node.settings["service"], slots=8)
+        self.on_request = self.answer
+
+    def answer(self, handler, attempt):
+        time.sleep(self.rng.uniform(0.002, 0.03))
+        fault = self.rng.choices(["", "truncated", "lost", "twice", "endless"], [96, 1, 1, 1, 1])[0]
+        if ("Server-Leaving", "1") in self.notice and not fault:
+            self.told.setdefault(attempt.split("_")[0], time.monotonic())
+        if not fault:
+            handler.respond(attempt, attempt.encode())
+            return True
+        self.spoiled.add(attempt)
+        head = ("HTTP/1.1 200 OK\r\nX-Kumquatdrift-Attempt-Id: %s\r\nX-Kumquatdrift-Response-Signature: sig\r\n" % attempt).encode()
+        try:
+            if fault == "truncated":
+                handler.wfile.write(head + b"Content-Length: 500\r\n\r\nhalf")
+            if fault == "twice":
+                answer = head + b"Content-Length: %d\r\n\r\n" % len(attempt) + attempt.encode()
+                handler.wfile.write(answer)
+                time.sleep(0.02)
+                handler.wfile.write(answer)
+                self.spoiled.discard(attempt)
+                return True
+            while fault == "endless":
+                handler.wfile.write(head + b"\r\n" + b"x" * 1_000_000)
+        except OSError:
+            pass  # The node has closed the connection.
+        handler.close_connection = True
+        return True
+
+    def name_limit(self, limit):
+        self.notice = [("Server-Limit", "%.1f" % limit)] if limit else []
+        self.limits.append((time.monotonic(), limit))
+
+
+class Soak:
+    def __init__(self, seed, folder):
+        self.rng = random.Random(seed)
+        self.store = Store()
+        base = 20 + seed % 40 * 5
+        self.nodes = [Node(folder, base + number, "ab"[number % 2], service, self.store.address)
+                      for number, service in enumerate(SERVICE_OF_NODE)]
+        self.disturbed = collections.defaultdict(list)  # Name of a node -> (time, event).
+        self.results = []  # (node, attempt, sent, ended, status, body)
+        self.stop = threading.Event()
+        self.version = 5
+        self.store.publish(self.version, ROUTES, SERVICES)
+        for node in self.nodes:
+            node.start()
+        self.targets = [SoakTarget(node, random.Random(seed * 100 + index)) for index, node in enumerate(self.nodes)]
+        self.all_targets = list(self.targets)
+        for node in self.nodes:
+            wait_until(node.is_ready, node.name + " is ready")
+            for path in ("/read/x", "/board/x"):
+                wait_until(lambda: node.call(path=path, attempt=node.name + "_" + os.urandom(8).hex())[0] == 200, path)
+
+    def call(self, node, rng):
+        connection = None
+        while not self.stop.is_set():
+            path, method = rng.choice([("/read/x", "GET"), ("/board/x", "GET"), ("/book/x", "POST")])
+            attempt = "%s_%s" % (node.name, os.urandom(8).hex())
+            sent, status, body = time.monotonic(), "closed", b""
+            try:
+                connection = connection or http.client.HTTPConnection(node.ip, node.callers, timeout=5)
+                connection.request(method, path, b"body" if method == "POST" else None, {
+                    "Host": "desk.example", "X-Kumquatdrift-Deadline-Ms": "1500", "X-Kumquatdrift-Attempt-Id": attempt})
+                response = connection.getresponse()
+                body, status = response.read(), response.status
+            except http.client.IncompleteRead:
+                status = "cut"
+            except (OSError, http.client.HTTPException):
+                connection.close()
+                connection = None
+                time.sleep(0.03)
+            self.results.append((node, attempt, sent, time.monotonic(), status, body, method))
+            time.sleep(rng.uniform(0, 0.02))
+
+    def disturb_node(self, node, rng):
+        """Stops, kills, suspends or reloads a node at times, until the end."""
+        while not self.stop.wait(rng.uniform(1, 6)):
+            event = rng.choice(["kill", "term", "suspend", "hup"])
+            self.disturbed[node.name].append((time.monotonic(), event))
+            if event == "hup":
+                node.signal(signal.SIGHUP)
+                continue
+            if event == "suspend":
+                node.signal(signal.SIGSTOP)
+                time.sleep(rng.uniform(0.2, 1.5))
+                node.signal(signal.SIGCONT)
+            elif event == "term":
+                node.signal(signal.SIGTERM)
+                node.process.wait()
+            else:
+                node.kill()
+            if event != "suspend":
+                node.start()
+            self.disturbed[node.name].append((time.monotonic(), event))
+
+    def disturb_target(self, index, rng):
+        """Makes a target name limits, and replaces it with another one after it has left."""
+        while not self.stop.wait(rng.uniform(0.5, 3)):
+            target = self.targets[index]
+            event = rng.choice(["limit", "limit", "limit", "none", "leave"])
+            if event == "limit":
+                target.name_limit(rng.choice([2, 5.5, 10, 20]))
+                self.stop.wait(STABLE_WINDOW_S + rng.uniform(2, 5))
+            elif event == "none":
+                target.name_limit(None)
+            else:
+                target.notice = [("Server-Leaving", "1")]
+                self.stop.wait(DRAIN_S + rng.uniform(0.5, 2))
+                target.crash()
+                self.targets[index] = SoakTarget(self.nodes[index], random.Random(rng.random()))
+                self.all_targets.append(self.targets[index])
+
+    def change_configuration(self, rng):
+        while not self.stop.wait(rng.uniform(0.3, 2)):
+            self.version += rng.randrange(1, 4)
+            self.store.publish(self.version, ROUTES + [("/v%d/" % self.version, "idempotent", "board", 2)], SERVICES)
+
+    def run(self, seconds):
+        seeds = random.Random(self.rng.random())
+        jobs = [(self.call, node) for node in self.nodes for _ in range(4)]
+        jobs += [(self.disturb_node, node) for node in self.nodes]
+        jobs += [(self.disturb_target, index) for index in range(len(self.targets))]
+        threads = [threading.Thread(target=job, args=(*arguments, random.Random(seeds.random())), daemon=True)
+                   for job, *arguments in [*jobs, (self.change_configuration,)]]
+        for thread in threads:
+            thread.start()
+        time.sleep(seconds)
+        self.stop.set()
+        for thread in threads:
+            thread.join()
+
+    def is_calm(self, name, start, end):
+        return not any(start <= when <= end for when, _ in self.disturbed[name])
+
+    def faults(self):
+        """Returns each broken promise as a line of text."""
+        runs = collections.defaultdict(list)
+        for target in self.all_targets:
+            for attempt, when, _, _ in target.executions:
+                runs[attempt].append((target, when))
+        found = []
+        for node, attempt, sent, ended, status, body, method in self.results:
+            what = "%s %s %s at %s, runs %d" % (method, attempt, status, node.name, len(runs[attempt]))
+            if method == "POST" and len(runs[attempt]) > 1:
+                found.append("run twice: " + what)
+            if status in (408, 421, 429, 503) and runs[attempt]:
+                found.append("rejected, but run: " + what)
+            if status == 200 and body != attempt.encode():
+                found.append("wrong body: %s %r" % (what, body[:60]))
+            events = [event for when, event in self.disturbed[node.name] if sent - 8 <= when <= ended]
+            if status in ("closed", "cut") and runs[attempt] and set(events) <= {"term", "hup"} and \
+                    not any(attempt in target.spoiled for target in self.all_targets):
+                found.append("cut off: " + what)
+        for target in self.all_targets:
+            found += self.limit_faults(target) + [
+                "after its leave: %s" % attempt for attempt, when, _, _ in target.executions
+                for name, told in target.told.items()
+                if attempt.startswith(name + "_") and when > told + DRAIN_S and self.is_calm(name, told, when)]
+        return found
+
+    def limit_faults(self, target):
+        found = []
+        for (named, limit), (until, _) in zip(target.limits, target.limits[1:] + [(float("inf"), None)]):
+            if not limit:
+                continue
+            times = sorted(when for attempt, when, _, _ in target.executions
+                           if named + STABLE_WINDOW_S <= when < until
+                           and self.is_calm(attempt.split("_")[0], named, when))
+            for start in times:
+                count = sum(start <= when < start + WINDOW_S for when in times)
+                if count > allowed(limit):
+                    found.append("limit %s: %d in %.0f s" % (limit, count, WINDOW_S))
+                    break
+        return found
+
+    def close(self):
+        for node in self.nodes:
+            node.kill()
+        for target in self.targets:
+            target.crash()
+
+
+def run_seed(seed, seconds):
+    """Returns the faults and the number of requests by status."""
+    with tempfile.TemporaryDirectory() as folder:
+        soak = Soak(seed, folder)
+        try:
+            soak.run(seconds)
+            faults = soak.faults()
+            for line in faults:
+                for part in line.split():
+                    for node in soak.nodes if "_" in part else []:
+                        faults += [entry for entry in node.log().splitlines() if part in entry][:3]
+            return faults, collections.Counter(result[4] for result in soak.results)
+        finally:
+            soak.close()
+
+
+class GatewaySoak(unittest.TestCase):
+    def test_promises_hold_while_failures_overlap(self):
+        faults, statuses = run_seed(1, 25)
+        print(dict(statuses), file=sys.stderr)
+        self.assertEqual(faults, [])
+        self.assertGreater(statuses[200], 500)
+
+
+if __name__ == "__main__":
+    if "--seed" not in sys.argv:
+        unittest.main(verbosity=2)
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, required=True)
+    parser.add_argument("--seconds", type=float, default=25)
+    chosen = parser.parse_args()
+    seed_faults, seed_statuses = run_seed(chosen.seed, chosen.seconds)
+    print("seed", chosen.seed, dict(seed_statuses), "faults", len(seed_faults), *seed_faults[:20], sep="\n  ")
+    sys.exit(1 if seed_faults else 0)
