Keep silent links open while a node stops

A link is closed so that a new one finds out whether the node is back; a node that stops needs none, so it waits for the responses until their deadlines. A host that is gone still ends the connection, by its unacknowledged bytes.

Shown by node_with_silent_peer.request_on_a_silent_link_is_not_given_up_while_the_node_stops, which failed before.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -317,6 +317,7 @@
                         "open_requests={} running={}", this->router.in_flight(),
                         this->local_target.in_flight());
         this->caller_server.start_draining();
+        this->peer_nodes.keep_silent_links();
         this->broadcast_state();
         this->loop.call_at(*this->stopping_since + serve_peers_after_stop,
                            [this] { this->peer_nodes.reject_requests(); });
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -390,7 +390,7 @@
     const auto link = peer.link;
     if (link->ping_sent_at != timestamp{}) {
         const auto silence = now - std::max(link->ping_sent_at, link->last_received_at);
-        if (silence > link_timeout) {
+        if (silence > link_timeout && !(this->keeps_silent_links && !link->outbound_requests.empty())) {
             this->close_link(link, "no answer");
             return;
         }
--- a/src/gateway/peers.hpp
+++ b/src/gateway/peers.hpp
@@ -120,6 +120,13 @@
      */
     void cancel(std::string_view node, std::uint64_t id);
 
+    /*! @brief Keeps links with outstanding requests open from now on although the other nodes don't respond:
+     * a node that stops needs no new link, and the responses may still arrive. */
+    void keep_silent_links() noexcept
+    {
+        this->keeps_silent_links = true;
+    }
+
     /*! @brief Rejects all further requests of other nodes. */
     void reject_requests() noexcept
     {
@@ -180,6 +187,7 @@
     /*! @brief Earliest time at which the node at the other end of a new link is asked for all known nodes. */
     timestamp next_members_query{};
     bool serving{true};
+    bool keeps_silent_links{};
 };
 
 } // namespace kumquatdrift
--- a/tests/gateway/silent_link.cpp
+++ b/tests/gateway/silent_link.cpp
@@ -60,6 +60,27 @@
                 [](std::uint32_t, const std::string&) {}};
 };
 
+// Guards against a 502 for a request at which its target is at work, after the node was told to stop (LOST).
+TEST_F(node_with_silent_peer, request_on_a_silent_link_is_not_given_up_while_the_node_stops)
+{
+    auto request = std::make_shared<target_request>(*make_target_request("r1", false));
+    request->deadline = boot_now() + std::chrono::seconds{9};
+    std::optional<attempt_outcome> outcome{};
+    EXPECT_NE(
+        this->links.run("other", request, [&](const attempt_result& result) { outcome = result.outcome; }),
+        0U);
+    this->links.keep_silent_links();
+    this->world.run_for(std::chrono::seconds{3});
+    EXPECT_FALSE(outcome);
+    hop::Frame answer{};
+    answer.mutable_answer()->set_id(1);
+    std::string bytes{};
+    append_frame(answer, bytes);
+    boost::asio::write(this->raw, boost::asio::buffer(bytes));
+    EXPECT_TRUE(this->world.run_until([&] { return outcome.has_value(); }));
+    EXPECT_EQ(outcome, attempt_outcome::answered);
+}
+
 // Guards against requests that reach their target after their callers were told that they are lost.
 TEST_F(node_with_silent_peer, request_that_waits_on_a_link_given_up_does_not_arrive_later)
 {
