--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -64,7 +64,8 @@
 {
     this->on_closed = {};
     this->on_frame = {};
-    // Resets the connection: requests that wait on the link have been reported as lost and must not arrive later.
+    // Resets the connection: requests that wait on the link have been reported as lost and must not arrive
+    // later.
     this->connection->abort();
 }
 
