Keep a limit whose header is malformed, and a leave whose address answers 421

A malformed limit counted as no limit, and lifted one after a second. A 421 made a target that drains unknown, so that its next late report of ready undid the leave; now it only concerns a ready one (both tests fail without the change). A leave in a response rejects the queued requests, whose callbacks may add requests: an iterator into the table was used afterwards.

--- a/src/gateway/target_host.cpp
+++ b/src/gateway/target_host.cpp
@@ -279,18 +279,22 @@
         return;
     }
     const auto now = boot_now();
-    const auto& request = *found->second.request;
+    // Copied, because a change of state rejects queued requests, whose callbacks may add others.
+    const auto request_pointer = found->second.request;
+    const auto sent_at = found->second.since;
+    const auto sent_to = found->second.incarnation;
+    const auto& request = *request_pointer;
     auto result = this->classify(request, call);
     this->queue.finish(id, result.outcome == attempt_outcome::answered && result.status < 500, now);
     if (call.outcome == call_outcome::answered) {
         this->last_response_at = now;
         if (result.outcome == attempt_outcome::answered || result.outcome == attempt_outcome::shed) {
-            this->on_notice(found->second, call.response);
+            this->on_notice(call.response, sent_at, sent_to);
         }
     }
     if (result.outcome == attempt_outcome::answered) {
-        result.service_time = now - found->second.since;
-        this->run_seconds.observe(std::chrono::duration<double>{now - found->second.since}.count());
+        result.service_time = now - sent_at;
+        this->run_seconds.observe(std::chrono::duration<double>{now - sent_at}.count());
         this->shared.quarantine.on_success(request.fingerprint, this->node, now);
     }
     else {
@@ -303,7 +307,7 @@
     if (call.outcome == call_outcome::not_sent && now < request.deadline) {
         this->on_unreachable(result.cause);
     }
-    else if (call.response.status == 421) {
+    else if (call.response.status == 421 && this->current.state == report_state::ready) {
         this->set_state(report_state::unknown, "other_instance_answered");
     }
     this->complete(id, std::move(result));
--- a/src/gateway/target_host.hpp
+++ b/src/gateway/target_host.hpp
@@ -147,7 +147,7 @@
     void dispatch(std::uint64_t id);
     void start_queued();
     void on_response(std::uint64_t id, call_result call);
-    void on_notice(const pending_request& pending, const http_message& response);
+    void on_notice(const http_message& response, timestamp sent_at, std::uint64_t sent_to);
     void log_limit(const std::string& cause);
     [[nodiscard]] bool apply_memory();
     [[nodiscard]] attempt_result classify(const target_request& request, call_result& call) const;
--- a/src/gateway/target_notices.cpp
+++ b/src/gateway/target_notices.cpp
@@ -16,19 +16,21 @@
 
 } // namespace
 
-void target_host::on_notice(const pending_request& pending, const http_message& response)
+void target_host::on_notice(const http_message& response, timestamp sent_at, std::uint64_t sent_to)
 {
-    if (pending.incarnation != this->incarnation || response.status == 421) {
+    if (sent_to != this->incarnation || response.status == 421) {
         return;
     }
     const auto notice = this->shared.platform.decode_notice(response);
-    if (!notice.malformed.empty()) {
+    if (notice.malformed.empty()) {
+        this->queue.limit().on_response(notice.limit, sent_at, boot_now());
+        this->log_limit("response");
+    }
+    else {
         this->shared.log.write(log_level::warn, event_class::failed_request, "target", "bad_notice",
                                "instance={} value={}", log_value(this->current.instance),
                                log_value(notice.malformed));
     }
-    this->queue.limit().on_response(notice.limit, pending.since, boot_now());
-    this->log_limit("response");
     if (notice.leaving && this->current.state != report_state::gone) {
         this->set_state(report_state::draining, "response");
     }
--- a/tests/gateway/target_limit.cpp
+++ b/tests/gateway/target_limit.cpp
@@ -114,6 +114,27 @@
     EXPECT_GT(this->arrivals.size() - before, 80U);
 }
 
+TEST_F(target_that_names_a_limit, keeps_its_limit_when_a_later_value_is_malformed)
+{
+    this->notice = "X-Limit: 12\r\n";
+    this->offer_load(milliseconds{300});
+    this->notice = "X-Limit: malformed\r\n";
+    this->offer_load(milliseconds{1'500});
+    EXPECT_EQ(this->host.load().limit, 12.0);
+}
+
+TEST_F(target_that_names_a_limit, leave_is_not_undone_when_another_instance_answers_at_its_address)
+{
+    this->target.on_request = nullptr;
+    this->host.run(make_target_request("r1"), [](const attempt_result&) {});
+    EXPECT_TRUE(this->world.run_until([this] { return this->target.requests.size() == 1; }));
+    EXPECT_TRUE(this->host.on_report(make_report(report_state::draining, 2)));
+    this->target.requests.front()->respond({421, "", "", ""});
+    this->world.run_for(milliseconds{50});
+    EXPECT_TRUE(this->host.on_report(make_report(report_state::ready, 3)));
+    EXPECT_EQ(this->host.report().state, report_state::draining);
+}
+
 TEST_F(target_that_names_a_limit, successor_is_not_limited_by_late_responses_of_its_predecessor)
 {
     this->target.on_request = nullptr;
--- a/tests/support/gateway_world.hpp
+++ b/tests/support/gateway_world.hpp
@@ -42,6 +42,9 @@
     [[nodiscard]] target_notice decode_notice(const http_message& response) const override
     {
         const auto* limit = find_field(response.fields, "X-Limit");
+        if (limit != nullptr && *limit == "malformed") {
+            return {std::nullopt, false, *limit};
+        }
         return {limit != nullptr ? std::optional{std::stod(*limit)} : std::nullopt,
                 find_field(response.fields, "X-Leaving") != nullptr, ""};
     }
