Wait for the target's close in the test of closed idle connections

Cause: the target closes after its response, and the test gave it 2 ms for that. A request that the node sends before the target closes fails, and as its connection broke after it was sent it may not be repeated: 502 with "may have run" is the right response to it. Ruled out: a closed connection taken from the pool, since the pool checks for a close at the moment of use, and the test passes when the close comes first.

Change: the target counts the connections that it has closed, and the test sends the next request once the close is done, with the 2 ms on top. What it asserts of each response is the same; that the target closed each time is asserted too, so that no request may go over a connection that is still open.

--- a/tests/proxy/failures.cpp
+++ b/tests/proxy/failures.cpp
@@ -218,10 +218,16 @@
 {
     this->start_with_target();
     this->target.behave(behaviour::close_while_idle);
-    for (int index = 0; index < 20; ++index) {
+    for (std::uint64_t index = 0; index < 20; ++index) {
         const auto id = std::to_string(index);
         EXPECT_EQ(this->call(id, "body").status, 200U);
         EXPECT_EQ(this->target.runs(id), 1U);
+        // A request that is sent before the target closes fails, and may not be repeated.
+        const auto give_up = steady_now() + milliseconds{5'000};
+        while (this->target.closed_connections() <= index && steady_now() < give_up) {
+            std::this_thread::sleep_for(milliseconds{1});
+        }
+        ASSERT_EQ(this->target.closed_connections(), index + 1);
         std::this_thread::sleep_for(milliseconds{2});
     }
 }
--- a/tests/proxy/fake_target.cpp
+++ b/tests/proxy/fake_target.cpp
@@ -189,6 +189,7 @@
     try {
         while (this->serve_request(socket, buffer)) {}
         socket.close();
+        ++this->closed;
     }
     catch (const Poco::Exception&) {
         // The peer has closed the connection.
--- a/tests/proxy/fake_target.hpp
+++ b/tests/proxy/fake_target.hpp
@@ -59,6 +59,11 @@
     {
         return this->accepted;
     }
+    // Number of connections that this target has closed on its own.
+    [[nodiscard]] std::uint64_t closed_connections() const noexcept
+    {
+        return this->closed;
+    }
     // Heads of all requests, in order of arrival.
     [[nodiscard]] std::vector<std::string> heads() const;
     // Number of requests whose body was truncated.
@@ -79,6 +84,7 @@
     std::atomic<behaviour> action{behaviour::respond};
     std::atomic<std::int64_t> delay_ms{};
     std::atomic<std::uint64_t> accepted{};
+    std::atomic<std::uint64_t> closed{};
     std::atomic<std::uint64_t> truncated_requests{};
     mutable std::mutex mutex{};
     std::map<std::string, std::uint64_t> runs_by_id{};
