Notice a response while an upload is blocked

A caller whose upload was rejected early got the 429 only when the target closed its connection, 4 s later (proxy.proxy_flow.early_rejection_by_the_target_is_forwarded, 3 of 16 runs on a busy machine). An upload to a target that sent two interim responses first ended in 504 with "may have run".

Cause: tcp_connection::send waits with POLLOUT only. A target that has responded need not read the rest of the request, so once the buffers are full nothing wakes the sender. Between two blocks of an upload any input was taken for the final response, and the upload stopped. Ruled out: scheduling on a busy machine; with a target that responds 300 ms after the head, when the buffers are full, the delay shows in each run on an idle one.

Change: send_until_input also returns when the peer has sent something; the attempt reads the head, goes on after an interim response and stops at a final one. A connection whose request was not sent whole is not used again, as before. An interim response before "100 Continue" no longer ends the wait for it.

The wait for "100 Continue" has no test of its own.

--- a/include/kumquatdrift/proxy/tcp_connection.hpp
+++ b/include/kumquatdrift/proxy/tcp_connection.hpp
@@ -25,6 +25,8 @@
     failed,
     /*! @brief The peer of the watched connection closed it. */
     watched_closed,
+    /*! @brief The peer has sent bytes, or has closed, while it accepted no more. */
+    input_pending,
 };
 
 /*! @brief A TCP connection with an input buffer. Used by one thread at a time, except for `shutdown`. */
@@ -84,6 +86,14 @@
      */
     [[nodiscard]] io_status send(std::string_view bytes, timestamp until);
 
+    /**
+     * @brief Sends bytes, but stops waiting for the peer to accept more of them when it has sent some itself.
+     * @param bytes Bytes to send; on return those that were not written to the socket.
+     * @param until Deadline.
+     * @return `ok`, `input_pending`, `timed_out` or `failed`.
+     */
+    [[nodiscard]] io_status send_until_input(std::string_view& bytes, timestamp until);
+
     /**
      * @brief Returns the number of bytes written to the socket since construction.
      * @return Number of bytes.
@@ -131,6 +141,8 @@
     void abort() noexcept;
 
 private:
+    [[nodiscard]] io_status send(std::string_view& bytes, timestamp until, short events);
+
     Poco::Net::StreamSocket socket;
     int descriptor;
     std::size_t capacity;
--- a/src/proxy/message_reader.cpp
+++ b/src/proxy/message_reader.cpp
@@ -60,6 +60,7 @@
     case io_status::closed:
         return this->started ? read_status::end : read_status::closed;
     case io_status::failed:
+    case io_status::input_pending:
         break;
     }
     return this->started ? read_status::truncated : read_status::closed;
--- a/src/proxy/outbound_request.cpp
+++ b/src/proxy/outbound_request.cpp
@@ -115,13 +115,18 @@
 
 bool outbound_request::send_after_continue(std::string_view extra_fields)
 {
-    if (!this->send(this->request_head(extra_fields, true)) || !this->receive_head()) {
+    if (!this->send(this->request_head(extra_fields, true))) {
         return false;
     }
-    if (this->response().result_int() != status_continue) {
-        // The peer sent a final response without requesting the body. The connection cannot be reused,
-        // because is_request_complete stays false.
-        return this->response().result_int() >= first_final_status || this->receive_final_head();
+    while (!this->has_final_head() && (!this->reader || this->response().result_int() != status_continue)) {
+        if (!this->receive_head()) {
+            return false;
+        }
+    }
+    if (this->has_final_head()) {
+        // The peer did not request the body. The connection cannot be reused, because is_request_complete
+        // stays false.
+        return true;
     }
     const auto status = this->request.body.read_prefix(this->request.deadline);
     if (status != read_status::ok) {
@@ -149,7 +154,7 @@
     if (!this->request.body.is_whole() && this->request.body.is_present()) {
         return this->stream_remainder();
     }
-    this->is_request_complete = true;
+    this->is_request_complete = !this->has_final_head();
     return true;
 }
 
@@ -158,8 +163,10 @@
     auto& buffer = thread_buffer();
     std::string output;
     while (true) {
-        if (!this->connection.io().is_idle()) {
-            // The peer has responded before the end of the body, or has closed the connection.
+        if (!this->has_final_head() && !this->connection.io().is_idle() && !this->receive_head()) {
+            return false;
+        }
+        if (this->has_final_head()) {
             return true;
         }
         const auto read =
@@ -181,28 +188,45 @@
             return false;
         }
     }
-    this->is_request_complete = !this->is_chunked || this->send(final_chunk);
-    return this->is_request_complete;
+    if (this->is_chunked && !this->send(final_chunk)) {
+        return false;
+    }
+    this->is_request_complete = !this->has_final_head();
+    return true;
 }
 
 bool outbound_request::send(std::string_view bytes)
 {
-    const auto status = this->connection.io().send(bytes, this->io_deadline());
+    auto status = this->connection.io().send_until_input(bytes, this->io_deadline());
+    while (status == io_status::input_pending) {
+        // A peer that has responded may not read the remainder of the request. The response can be interim.
+        if (!this->receive_head()) {
+            return false;
+        }
+        if (this->has_final_head()) {
+            return true;
+        }
+        status = this->connection.io().send_until_input(bytes, this->io_deadline());
+    }
     if (status == io_status::ok) {
         return true;
     }
     if (status == io_status::failed && this->connection.io().wait_input(steady_now()) == io_status::ok) {
         // The peer may have responded before it closed the connection.
-        this->has_send_failed = true;
         return this->receive_final_head();
     }
     this->fail(status == io_status::timed_out ? hop_end::timed_out : hop_end::connection_lost);
     return false;
 }
 
+bool outbound_request::has_final_head() const noexcept
+{
+    return this->reader && this->response().result_int() >= first_final_status;
+}
+
 bool outbound_request::receive_final_head()
 {
-    while (!this->reader || this->response().result_int() < first_final_status) {
+    while (!this->has_final_head()) {
         if (!this->receive_head()) {
             return false;
         }
@@ -321,7 +345,7 @@
 void outbound_request::release_connection()
 {
     const auto can_reuse = is_reusable(this->observation) && this->is_request_complete &&
-                           !this->has_send_failed && this->reader->is_done() && this->reader->keeps_alive() &&
+                           this->reader->is_done() && this->reader->keeps_alive() &&
                            !this->reader->ends_with_connection();
     if (can_reuse) {
         this->connection.return_to_pool();
--- a/src/proxy/outbound_request.hpp
+++ b/src/proxy/outbound_request.hpp
@@ -119,8 +119,9 @@
     [[nodiscard]] bool send_after_continue(std::string_view extra_fields);
     [[nodiscard]] bool send_body(std::string output);
     [[nodiscard]] bool stream_remainder();
-    // Returns true also if sending failed, but the head of a response was received.
+    // Returns true also if not all bytes were sent, but the head of a final response was received.
     [[nodiscard]] bool send(std::string_view bytes);
+    [[nodiscard]] bool has_final_head() const noexcept;
     [[nodiscard]] bool receive_final_head();
     [[nodiscard]] bool receive_head();
     [[nodiscard]] response_head make_relayed_head(std::string_view extra_fields) const;
@@ -138,7 +139,6 @@
     std::uint64_t sent_bytes_at_start;
     bool is_chunked;
     bool is_request_complete{};
-    bool has_send_failed{};
 };
 
 } // namespace kumquatdrift::internal
--- a/src/proxy/tcp_connection.cpp
+++ b/src/proxy/tcp_connection.cpp
@@ -109,6 +109,16 @@
 }
 
 io_status tcp_connection::send(std::string_view bytes, timestamp until)
+{
+    return this->send(bytes, until, POLLOUT);
+}
+
+io_status tcp_connection::send_until_input(std::string_view& bytes, timestamp until)
+{
+    return this->send(bytes, until, POLLOUT | POLLIN);
+}
+
+io_status tcp_connection::send(std::string_view& bytes, timestamp until, short events)
 {
     while (!bytes.empty()) {
         const auto count = ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
@@ -120,10 +130,16 @@
         if (errno != EAGAIN && errno != EINTR) {
             return io_status::failed;
         }
-        pollfd writable{this->descriptor, POLLOUT, 0};
-        if (poll_until(&writable, 1, until) <= 0) {
+        if ((events & POLLIN) != 0 && this->begin != this->end) {
+            return io_status::input_pending;
+        }
+        pollfd state{this->descriptor, events, 0};
+        if (poll_until(&state, 1, until) <= 0) {
             return io_status::timed_out;
         }
+        if ((state.revents & events & POLLIN) != 0) {
+            return io_status::input_pending;
+        }
     }
     return io_status::ok;
 }
--- a/tests/proxy/fake_target.cpp
+++ b/tests/proxy/fake_target.cpp
@@ -15,6 +15,9 @@
 
 constexpr std::string_view head_end = "\r\n\r\n";
 
+// An upload fills the buffers of a connection that is not read in a few milliseconds.
+constexpr milliseconds time_to_fill_buffers{300};
+
 bool receive_more(Poco::Net::StreamSocket& socket, std::string& buffer)
 {
     std::array<char, 16 * 1024> block{};
@@ -215,7 +218,14 @@
         reset(socket);
         return false;
     }
-    if (selected == behaviour::reject_before_body) {
+    if (selected == behaviour::reject_blocked_body || selected == behaviour::hint_before_body) {
+        std::this_thread::sleep_for(time_to_fill_buffers);
+    }
+    if (selected == behaviour::hint_before_body) {
+        send(socket, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n");
+        std::this_thread::sleep_for(time_to_fill_buffers);
+    }
+    if (selected == behaviour::reject_before_body || selected == behaviour::reject_blocked_body) {
         send(socket, "HTTP/1.1 429 Too Many Requests\r\nx-kumquatdrift-verdict: not_run\r\nContent-Length: "
                      "0\r\nConnection: close\r\n\r\n");
         std::this_thread::sleep_for(milliseconds{this->delay_ms.load()});
--- a/tests/proxy/fake_target.hpp
+++ b/tests/proxy/fake_target.hpp
@@ -33,6 +33,8 @@
     malformed,
     reject_as_not_run,
     reject_before_body,
+    reject_blocked_body,
+    hint_before_body,
 };
 
 /*! @brief HTTP target on a free loopback port. Fails as configured and counts the runs of each request id. */
--- a/tests/proxy/flows.cpp
+++ b/tests/proxy/flows.cpp
@@ -173,6 +173,33 @@
     EXPECT_EQ(response.verdict(), "not_run");
 }
 
+// Guards against a response that is noticed only when the target closes, because it did not read the upload.
+TEST_F(proxy_flow, rejection_of_a_blocked_upload_is_forwarded)
+{
+    this->route.retry.max_attempts = 1;
+    this->start_with_target();
+    this->route.deadline = milliseconds{6'000};
+    this->publish();
+    this->target.behave(behaviour::reject_blocked_body, milliseconds{4'000});
+    const auto started = steady_now();
+    const auto response = this->call("up", patterned_text(32 * megabyte));
+    EXPECT_LT(steady_now() - started, milliseconds{3'500}) << "the target closes only after 4.3 s";
+    EXPECT_EQ(response.status, 429U);
+    EXPECT_EQ(response.verdict(), "not_run");
+}
+
+// Guards against an upload that ends at an interim response.
+TEST_F(proxy_flow, upload_continues_after_interim_responses)
+{
+    this->start_with_target();
+    this->route.deadline = milliseconds{6'000};
+    this->publish();
+    this->target.behave(behaviour::hint_before_body);
+    const auto body = patterned_text(32 * megabyte);
+    const auto response = this->call("up", body);
+    expect_intact(response, body);
+}
+
 class proxy_claims : public mesh_test {
 protected:
     void SetUp() override
