Share the shortest delay between the links of a process, for a limited time

What callers see (GONE): a request that was on the way for longer than its caller waits is run after the caller has left, if its link was congested from its first frame: the queueing delay is measured from the shortest one-way delay of the link, and there each delay looks normal (gateway.node_with_raw_peer.delay_on_a_new_link_is_compared_with_that_of_the_link_before: 2 requests at the target instead of 1).

A process that starts with an earlier time of day than the one before it shares no delays until a later one.

--- a/include/kumquatdrift/mesh/members.hpp
+++ b/include/kumquatdrift/mesh/members.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -14,6 +15,7 @@
 
 #include <kumquatdrift/core/enum_names.hpp>
 #include <kumquatdrift/core/time.hpp>
+#include <kumquatdrift/mesh/delay_floor.hpp>
 #include <kumquatdrift/mesh/fwd.hpp>
 #include <kumquatdrift/mesh/link_delay.hpp>
 #include <kumquatdrift/traffic/failure_rate_estimator.hpp>
@@ -144,6 +146,10 @@
     timestamp cold_until{};
     /*! @brief Queueing delay of the link to the node. */
     link_delay delay{};
+    /*! @brief One-way delays of frames from the node's process; null if there was no link from it yet. */
+    std::shared_ptr<delay_floor> delays{};
+    /*! @brief Start of the process that `delays` belongs to, in Unix milliseconds. */
+    std::uint64_t delays_of_ms{};
     /*! @brief Requests sent to the node on the current link. */
     std::uint64_t requests_sent{};
     /*! @brief Requests that had arrived at the node on the current link when it measured a load, as it last
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -75,8 +75,8 @@
         return microseconds{0};
     }
     const auto delay = now.time_since_epoch() - microseconds{static_cast<microseconds::rep>(sent_us)};
-    this->min_delay = std::min(this->min_delay.value_or(delay), delay);
-    return delay - *this->min_delay;
+    this->delays->observe(delay, now);
+    return delay - this->delays->shortest().value_or(delay);
 }
 
 frame_status peer_link::read_whole_frame(const std::string& buffer, std::size_t& offset, hop::Frame& frame)
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -4,10 +4,11 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <unordered_map>
 
+#include <kumquatdrift/mesh/delay_floor.hpp>
+
 #include <hop.pb.h>
 
 #include "frame_parts.hpp"
@@ -30,9 +31,9 @@
     /*! @brief Shared pointer to a link. */
     using pointer = std::shared_ptr<peer_link>;
     /**
-     * @brief Receives each frame with its queueing delay: its one-way delay minus the minimum observed on
-     *        the link. Each node sends another frame before its first request, so the minimum is known even
-     *        for that request.
+     * @brief Receives each frame with its queueing delay: its one-way delay minus the shortest in
+     *        `delays`. Each node sends another frame before its first request, so there is one even for that
+     *        request.
      */
     using frame_callback = std::function<void(const pointer&, hop::Frame&, microseconds)>;
     /*! @brief Called once with the cause when the link fails or the other node closes it. */
@@ -104,6 +105,8 @@
     timestamp last_received_at{};
     /*! @brief Time at which the outstanding ping was sent; zero if there is none. */
     timestamp ping_sent_at{};
+    /*! @brief One-way delays of frames from the other process; shared by its links. */
+    std::shared_ptr<delay_floor> delays{std::make_shared<delay_floor>()};
     /*! @brief Requests received on this link and not completed: the other node's id to the local id. */
     std::unordered_map<std::uint64_t, std::uint64_t> inbound_requests{};
     /*! @brief Number of requests that have arrived on this link, including those that were not started. */
@@ -132,7 +135,6 @@
     /*! @brief Latest send time of the received frames that contain a load. */
     std::uint64_t load_sent_us{};
     bool flush_scheduled{};
-    std::optional<microseconds> min_delay{};
     frame_callback on_frame{};
     closed_callback on_closed{};
 };
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -246,6 +246,7 @@
     const auto state_before = before != nullptr ? before->record.state : report_state::unknown;
     const auto instance_before = before != nullptr ? before->record.instance : "";
     this->table.merge(*record, member_table::origin::link, boot_now());
+    this->share_delays(*link, record->started_ms);
     this->configs.observe_version(record->config_version, boot_now());
     if (state_before != record->state || instance_before != record->instance) {
         this->shared.log.write(log_level::info, event_class::state, "peers", "target_of_node",
@@ -262,6 +263,25 @@
     }
 }
 
+void peers::share_delays(peer_link& link, std::uint64_t started_ms)
+{
+    auto* known = this->table.find(link.node);
+    if (known == nullptr || known->delays == link.delays) {
+        return;
+    }
+    // A new link may be congested from its start. Another process of the node may run on another clock.
+    if (!known->delays || known->delays_of_ms < started_ms) {
+        known->delays = link.delays;
+        known->delays_of_ms = started_ms;
+    }
+    else if (known->delays_of_ms == started_ms) {
+        if (const auto shortest = link.delays->shortest()) {
+            known->delays->observe(*shortest, boot_now());
+        }
+        link.delays = known->delays;
+    }
+}
+
 void peers::on_closed(const peer_link::pointer& link, const std::string& cause)
 {
     for (const auto& [peer_id, local_id] : std::exchange(link->inbound_requests, {})) {
--- a/src/gateway/peers.hpp
+++ b/src/gateway/peers.hpp
@@ -165,6 +165,7 @@
     void on_member_record(const peer_link::pointer& link, const hop::Member& message);
     void on_run(const peer_link::pointer& link, hop::Run& message, microseconds queueing_delay);
     void on_response(const peer_link::pointer& link, hop::Answer& message);
+    void share_delays(peer_link& link, std::uint64_t started_ms);
     void on_closed(const peer_link::pointer& link, const std::string& cause);
     void close_link(const peer_link::pointer& link, const std::string& cause);
     void on_tick(timestamp now);
--- a/tests/gateway/peers.cpp
+++ b/tests/gateway/peers.cpp
@@ -41,10 +41,11 @@
         boost::asio::write(this->raw, boost::asio::buffer(bytes));
     }
 
-    static hop::Frame hello()
+    static hop::Frame hello(std::uint64_t started_ms = 0)
     {
         hop::Frame frame{};
         member_record other{};
+        other.started_ms = started_ms;
         other.node = "other";
         other.ip = "127.0.0.1";
         other.port = 9;
@@ -146,6 +147,23 @@
     EXPECT_EQ(*find_field(this->target.requests.front()->request.fields, "X-Id"), "r2");
 }
 
+// Guards against requests that are taken for delayed because the clock of their node has started anew.
+TEST_F(node_with_raw_peer, delay_is_not_compared_with_that_of_an_earlier_process)
+{
+    this->send(hello(1), milliseconds{-60'000});
+    this->world.run_for(milliseconds{50});
+    const auto address = this->raw.remote_endpoint();
+    boost::asio::ip::tcp::socket earlier{std::move(this->raw)};
+    this->raw = boost::asio::ip::tcp::socket{this->world.loop.context()};
+    this->raw.connect(address);
+    this->send(hello(2), milliseconds{0});
+    this->world.run_for(milliseconds{50});
+    earlier.close();
+    this->world.run_for(milliseconds{50});
+    this->send(run(1), milliseconds{0});
+    EXPECT_TRUE(this->world.run_until([this] { return this->target.requests.size() == 1; }));
+}
+
 TEST_F(node_with_raw_peer, known_nodes_are_sent_only_when_asked_for)
 {
     const auto receive = [this] {
