Take a node for reachable only after it has sent something

Requests were sent to nodes whose process was frozen: a link counts as answering until a ping on it is late, and a link that the kernel of the other host has accepted counted from the next tick, before the process had sent a byte. Seen in a test of starting nodes, which took two stopped processes for reachable for 0.72 s and itself for linked.

Cause: peer_link set the time of the last received byte to the time of its construction, and check_link asked only whether a ping was outstanding. Ruled out: a record that was still in the socket, as both processes were stopped before the connection was made.

Change: the time is zero until the first byte, and a link without one is not answering. gateway.node_with_accepted_link.node_that_has_sent_nothing_is_not_reachable failed before (reachable after 60 ms).

--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -10,7 +10,7 @@
 namespace kumquatdrift {
 
 peer_link::peer_link(event_loop& owner, socket_stream::pointer stream, const link_metrics& shared_metrics)
-    : last_received_at{boot_now()}, loop{owner}, connection{std::move(stream)}, metrics{shared_metrics}
+    : loop{owner}, connection{std::move(stream)}, metrics{shared_metrics}
 {
     this->connection->set_read_limit(max_frame_bytes + socket_stream::default_read_limit);
     this->connection->limit_socket_queue(max_socket_queue_bytes);
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -101,7 +101,7 @@
     std::string node{};
     /*! @brief True if this node opened the link. */
     bool outbound{};
-    /*! @brief Time at which bytes last arrived. */
+    /*! @brief Time at which bytes last arrived; zero until the first. */
     timestamp last_received_at{};
     /*! @brief Time at which the outstanding ping was sent; zero if there is none. */
     timestamp ping_sent_at{};
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -418,7 +418,7 @@
             this->set_reachable(node, false, "slow to respond");
         }
     }
-    else {
+    else if (link->last_received_at != timestamp{}) {
         this->set_reachable(node, true, "answers");
     }
     const auto interval = link->outbound_requests.empty() ? idle_ping_interval : ping_interval;
--- a/tests/gateway/silent_link.cpp
+++ b/tests/gateway/silent_link.cpp
@@ -14,31 +14,25 @@
 
 using boost::asio::ip::tcp;
 
-/*! @brief A node with a link to another one that doesn't read and answers no ping. */
-class node_with_silent_peer : public testing::Test {
+/*! @brief A node with a link that the other one's host has accepted. */
+class node_with_accepted_link : public testing::Test {
 protected:
-    node_with_silent_peer()
+    node_with_accepted_link()
     {
         this->acceptor.set_option(boost::asio::socket_base::receive_buffer_size{16'384});
         this->acceptor.bind({boost::asio::ip::make_address_v4("127.0.0.1"), 0});
         this->acceptor.listen();
-        member_record other{};
-        other.node = "other";
-        other.ip = "127.0.0.1";
-        other.port = this->acceptor.local_endpoint().port();
-        this->links.on_member(other);
+        this->other.node = "other";
+        this->other.ip = "127.0.0.1";
+        this->other.port = this->acceptor.local_endpoint().port();
+        this->links.on_member(this->other);
         this->acceptor.async_accept(
             this->raw, [this](const boost::system::error_code& error) { this->accepted = !error; });
         EXPECT_TRUE(this->world.run_until([this] { return this->accepted; }));
-        hop::Frame hello{};
-        encode(other, *hello.mutable_hello()->mutable_self());
-        std::string bytes{};
-        append_frame(hello, bytes);
-        boost::asio::write(this->raw, boost::asio::buffer(bytes));
-        EXPECT_TRUE(this->world.run_until([this] { return this->links.reachable_count() == 1; }));
     }
 
     gateway_world world{};
+    member_record other{};
     tcp::acceptor acceptor{this->world.loop.context(), tcp::v4()};
     tcp::socket raw{this->world.loop.context()};
     bool accepted{};
@@ -60,6 +54,27 @@
                 [](std::uint32_t, const std::string&) {}};
 };
 
+/*! @brief A node with a link to another one that has sent its record, but doesn't read and answers no ping. */
+class node_with_silent_peer : public node_with_accepted_link {
+protected:
+    node_with_silent_peer()
+    {
+        hop::Frame hello{};
+        encode(this->other, *hello.mutable_hello()->mutable_self());
+        std::string bytes{};
+        append_frame(hello, bytes);
+        boost::asio::write(this->raw, boost::asio::buffer(bytes));
+        EXPECT_TRUE(this->world.run_until([this] { return this->links.reachable_count() == 1; }));
+    }
+};
+
+// Guards against requests to a process that is frozen while its host accepts connections.
+TEST_F(node_with_accepted_link, node_that_has_sent_nothing_is_not_reachable)
+{
+    EXPECT_FALSE(this->world.run_until([this] { return this->links.reachable_count() > 0; },
+                                       std::chrono::seconds{2}));
+}
+
 // Guards against a 502 for a request at which its target is at work, after the node was told to stop (LOST).
 TEST_F(node_with_silent_peer, request_on_a_silent_link_is_not_given_up_while_the_node_stops)
 {
