Reject requests at a starting node until another node has reported its version

With the others stopped for a second, 125 requests reached the service that the older version names for a moved route.

Change: until a node is linked to most nodes, or 2 s have passed since its first configuration, it answers 503 with Retry-After as long as it knows a newer version, as before, or as long as no node has reported any (`configuration_unconfirmed`).

process.GatewayStoreReset.test_starting_node_without_links_does_not_route_by_the_older_version failed before (125, 121 and 120 requests; none now).

--- a/include/kumquatdrift/mesh/config_fetch.hpp
+++ b/include/kumquatdrift/mesh/config_fetch.hpp
@@ -46,6 +46,9 @@
     std::uint32_t version{};
     /*! @brief Newest version that any node has reported. */
     std::uint32_t newest_known{};
+    /*! @brief True once another node has reported the version that it runs. Until then this node may have read
+     * an older version from the store than others run. */
+    bool has_report{};
     /*! @brief Time since which a newer version has been known; zero if there is none. */
     timestamp behind_since{};
     /*! @brief Time before which the store is not read again. */
@@ -84,6 +87,17 @@
     return fetch.newest_known > fetch.version;
 }
 
+/**
+ * @brief Checks whether the version in force may be older than that of other nodes, as far as their reports
+ * show.
+ * @param fetch State.
+ * @return True if a newer version is known or no other node has reported its own.
+ */
+[[nodiscard]] inline bool may_be_behind(const config_fetch& fetch) noexcept
+{
+    return is_behind(fetch) || !fetch.has_report;
+}
+
 /**
  * @brief Checks whether a node that doesn't follow the store has to read it, because no other node has sent
  * the newer version in time.
--- a/src/gateway/entry_router.cpp
+++ b/src/gateway/entry_router.cpp
@@ -77,15 +77,16 @@
         this->reject_unrouted(exchange, 503, "no_configuration");
         return;
     }
-    const auto newer_known = is_behind(this->shared.peer_nodes.newer_config());
-    if (newer_known && !this->routes_confirmed) {
-        this->reject_unrouted(exchange, 503, "configuration_behind");
+    const auto& versions = this->shared.peer_nodes.newer_config();
+    if (!this->routes_confirmed && may_be_behind(versions)) {
+        this->reject_unrouted(exchange, 503,
+                              versions.has_report ? "configuration_behind" : "configuration_unconfirmed");
         return;
     }
     const auto* route = host != nullptr ? this->routes->find(*host, exchange->request.target) : nullptr;
     if (route == nullptr) {
         // A newer configuration may have the route.
-        const auto behind = newer_known || !this->routes_confirmed;
+        const auto behind = is_behind(versions) || !this->routes_confirmed;
         this->reject_unrouted(exchange, behind ? 503 : 404, behind ? "configuration_behind" : "no_route");
         return;
     }
--- a/src/mesh/config_fetch.cpp
+++ b/src/mesh/config_fetch.cpp
@@ -23,6 +23,7 @@
 void observe_version(config_fetch& fetch, std::uint32_t version, timestamp now)
 {
     fetch.newest_known = std::max(fetch.newest_known, version);
+    fetch.has_report = fetch.has_report || version > 0;
     if (is_behind(fetch) && fetch.behind_since == timestamp{}) {
         fetch.behind_since = now;
     }
--- a/tests/process/store_reset_test.py
+++ b/tests/process/store_reset_test.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import random
+import signal
 import sys
 import threading
 import time
@@ -12,7 +13,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
-from gateway_test import CONFIG_APPLY_S, ROUTES, SERVICES, GatewayTest, Node, wait_until  # noqa: E402
+from gateway_test import CONFIG_APPLY_S, GRACE_S, ROUTES, SERVICES, GatewayTest, Node, wait_until  # noqa: E402
 
 
 class CallerLoop:
@@ -122,6 +123,63 @@
         self.assertEqual([attempt for target in self.targets[:2] for attempt, *_ in target.executions
                           if attempt.startswith("moved-")], [])
 
+    def test_starting_node_without_links_does_not_route_by_the_older_version(self):
+        self.publish_new_version()
+        self.go_back()
+        restarted = self.nodes[1]
+        restarted.kill()
+        for node in (self.nodes[0], self.nodes[2]):
+            node.signal(signal.SIGSTOP)
+        restarted.start()
+        moved = CallerLoop(restarted, "/papers/x", "moved")
+        self.addCleanup(moved.stop.set)
+        # The node has read version 5 and its target has reported; the others would be awaited for 2 s.
+        wait_until(lambda: "event=config_in_force version=5" in restarted.log().rsplit("event=started", 1)[-1],
+                   "the older version has been read", 1)
+        time.sleep(1)
+        for node in (self.nodes[0], self.nodes[2]):
+            node.signal(signal.SIGCONT)
+        wait_until(lambda: moved.statuses[-1:] == [200], "the moved route is served", CONFIG_APPLY_S)
+        self.assertLessEqual(set(moved.end()), {200, 503})
+        self.assertGreater(moved.statuses.count(503), 10)
+        self.assertEqual([attempt for target in self.targets[:2] for attempt, *_ in target.executions
+                          if attempt.startswith("moved-")], [])
+
+    def test_members_and_targets_are_confirmed_or_dropped_within_two_seconds(self):
+        limit_s = 2.0
+        folder = pathlib.Path(self.nodes[0].path).parent
+        added = [Node(folder, number, "a", "board", self.store.address) for number in (4, 5)]
+        for node in added:
+            self.addCleanup(self.stop, node)
+        added[0].start()
+        new_target = self.start_target(added[0])
+        wait_until(added[0].is_ready, "the added node is ready")
+        loops = self.call_all_nodes("/read/x")
+        # What the store forgets: the added node. What it shows again: the first target's node, which has stopped.
+        left = self.targets[0]
+        left.state = "draining"
+        time.sleep(0.4)
+        self.assertTrue(left.deregister())
+        loops[0].end()
+        self.nodes[0].signal(signal.SIGTERM)
+        self.nodes[0].process.wait(GRACE_S + 1)
+        stopped = time.monotonic()
+        self.go_back()
+        returned = time.monotonic()
+        added[1].start()
+        wait_until(lambda: added[0].name in {item["key"] for item in self.store.newest("keyed.nodes")["items"]},
+                   "the record of the added node is in the store again", limit_s)
+        wait_until(lambda: "event=node_reachable node=%s " % added[0].name in added[1].log(),
+                   "a node that starts knows the added node", limit_s - (time.monotonic() - returned))
+        print("members known after %.2f s" % (time.monotonic() - returned), file=sys.stderr)
+        wait_until(added[1].is_ready, "the node that starts is ready", limit_s - (time.monotonic() - returned))
+        statuses = [added[1].call(path="/board/x", attempt="board-%d" % number)[0] for number in range(60)]
+        time.sleep(limit_s)
+        self.assertEqual(set(statuses), {200})
+        self.assertIn(True, [attempt.startswith("board-") for attempt, *_ in new_target.executions])
+        self.assertEqual({status for each in loops[1:] for status in each.end()}, {200})
+        self.assertEqual([execution for execution in left.executions if execution[1] > stopped], [])
+
     def test_each_node_writes_its_record_again_once(self):
         added = Node(pathlib.Path(self.nodes[0].path).parent, 4, "a", "desk", self.store.address)
         self.addCleanup(self.stop, added)
