--- a/tests/gateway/silent_link.cpp
+++ b/tests/gateway/silent_link.cpp
@@ -54,7 +54,8 @@
                 [](std::uint32_t, const std::string&) {}};
 };
 
-/*! @brief A node with a link to another one that has sent its record, but doesn't read and answers no ping. */
+/*! @brief A node with a link to another one that has sent its record, but doesn't read and answers no ping.
+ */
 class node_with_silent_peer : public node_with_accepted_link {
 protected:
     node_with_silent_peer()
@@ -71,8 +72,8 @@
 // Guards against requests to a process that is frozen while its host accepts connections.
 TEST_F(node_with_accepted_link, node_that_has_sent_nothing_is_not_reachable)
 {
-    EXPECT_FALSE(this->world.run_until([this] { return this->links.reachable_count() > 0; },
-                                       std::chrono::seconds{2}));
+    EXPECT_FALSE(
+        this->world.run_until([this] { return this->links.reachable_count() > 0; }, std::chrono::seconds{2}));
 }
 
 // Guards against a 502 for a request at which its target is at work, after the node was told to stop (LOST).
