Measure the delay of a request by both directions of a link

Change: a request carries the shortest delay that its sender has seen in the other direction. Added to the delay of the request, the difference of the two clocks cancels out, and the sum is the least time in which a response can be back. What exceeds 300 ms of it counts as queueing, also if all frames in the request's direction were late.

gateway.node_with_raw_peer.delay_on_a_link_that_was_always_congested_is_known_from_the_other_direction fails without the sum (2 requests at the target instead of 1), with clocks 60 s apart.

--- a/include/kumquatdrift/mesh/config_fetch.hpp
+++ b/include/kumquatdrift/mesh/config_fetch.hpp
@@ -46,8 +46,8 @@
     std::uint32_t version{};
     /*! @brief Newest version that any node has reported. */
     std::uint32_t newest_known{};
-    /*! @brief True once another node has reported the version that it runs. Until then this node may have read
-     * an older version from the store than others run. */
+    /*! @brief True once another node has reported the version that it runs. Until then this node may have
+     * read an older version from the store than others run. */
     bool has_report{};
     /*! @brief Time since which a newer version has been known; zero if there is none. */
     timestamp behind_since{};
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -69,14 +69,20 @@
     this->connection->abort();
 }
 
-microseconds peer_link::queueing_delay(std::uint64_t sent_us, timestamp now) noexcept
+microseconds peer_link::queueing_delay(const hop::Frame& frame, timestamp now) noexcept
 {
-    if (sent_us == 0) {
+    if (frame.sent_us() == 0) {
         return microseconds{0};
     }
-    const auto delay = now.time_since_epoch() - microseconds{static_cast<microseconds::rep>(sent_us)};
+    const auto delay = now.time_since_epoch() - microseconds{static_cast<microseconds::rep>(frame.sent_us())};
     this->delays->observe(delay, now);
-    return delay - this->delays->shortest().value_or(delay);
+    const auto more_than_shortest = delay - this->delays->shortest().value_or(delay);
+    if (!frame.has_run() || !frame.run().has_shortest_delay_us()) {
+        return more_than_shortest;
+    }
+    // The difference of the clocks cancels out.
+    const auto round_trip = delay + microseconds{frame.run().shortest_delay_us()};
+    return std::max(more_than_shortest, round_trip - max_latency);
 }
 
 frame_status peer_link::read_whole_frame(const std::string& buffer, std::size_t& offset, hop::Frame& frame)
@@ -137,7 +143,7 @@
     buffer.erase(0, offset);
     for (auto& frame : frames) {
         const auto callback = this->on_frame;
-        const auto delay = this->queueing_delay(frame.sent_us(), this->last_received_at);
+        const auto delay = this->queueing_delay(frame, this->last_received_at);
         self->runs_received += frame.has_run() ? 1 : 0;
         // A request isn't started if it was delayed in transit for so long that its cancellation has arrived
         // too.
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -33,12 +33,15 @@
     /**
      * @brief Receives each frame with its queueing delay: its one-way delay minus the shortest in
      *        `delays`. Each node sends another frame before its first request, so there is one even for that
-     *        request.
+     *        request. For a request it is at least the time by which its delay and the shortest in the other
+     *        direction exceed `max_latency`, even if all delays were long.
      */
     using frame_callback = std::function<void(const pointer&, hop::Frame&, microseconds)>;
     /*! @brief Called once with the cause when the link fails or the other node closes it. */
     using closed_callback = std::function<void(const pointer&, const std::string&)>;
 
+    /*! @brief Longest round trip between two data centres while no link is congested. */
+    static constexpr microseconds max_latency{300'000};
     /*! @brief Number of unsent bytes above which the link is congested and no request is sent on it. */
     static constexpr std::size_t congestion_threshold = 4'194'304;
     /*! @brief Number of bytes that are passed to the stream at a time. What is sent later waits for them, 44
@@ -123,7 +126,7 @@
                                                 hop::Frame& frame);
     void before_delivery(hop::Frame& frame);
     void flush();
-    [[nodiscard]] microseconds queueing_delay(std::uint64_t sent_us, timestamp now) noexcept;
+    [[nodiscard]] microseconds queueing_delay(const hop::Frame& frame, timestamp now) noexcept;
 
     event_loop& loop;
     socket_stream::pointer connection;
--- a/src/gateway/peer_requests.cpp
+++ b/src/gateway/peer_requests.cpp
@@ -89,6 +89,9 @@
     hop::Frame frame{};
     encode(*request, boot_now(), *frame.mutable_run());
     frame.mutable_run()->set_id(id);
+    if (const auto shortest = link->delays->shortest()) {
+        frame.mutable_run()->set_shortest_delay_us(shortest->count());
+    }
     link->send(frame);
     link->outbound_requests.emplace(id, std::move(done));
     ++known->in_flight;
--- a/tests/gateway/peers.cpp
+++ b/tests/gateway/peers.cpp
@@ -147,6 +147,27 @@
     EXPECT_EQ(*find_field(this->target.requests.front()->request.fields, "X-Id"), "r2");
 }
 
+// Guards against requests that run after their callers have left, on a link on which each frame was delayed.
+TEST_F(node_with_raw_peer, delay_on_a_link_that_was_always_congested_is_known_from_the_other_direction)
+{
+    // The other node's clock is 60 s ahead, so the frames of this node seem to take that long to arrive
+    // there.
+    constexpr milliseconds ahead{60'000};
+    const auto send_run = [this, ahead](std::uint64_t id, milliseconds delay) {
+        auto frame = run(id);
+        frame.mutable_run()->set_shortest_delay_us(microseconds{ahead + milliseconds{1}}.count());
+        this->send(std::move(frame), delay - ahead);
+    };
+    this->send(hello(), milliseconds{850} - ahead);
+    send_run(1, milliseconds{900});
+    send_run(2, milliseconds{850});
+    send_run(3, milliseconds{200});
+    EXPECT_TRUE(this->world.run_until([this] { return !this->target.requests.empty(); }));
+    this->world.run_for(milliseconds{50});
+    ASSERT_EQ(this->target.requests.size(), 1U);
+    EXPECT_EQ(*find_field(this->target.requests.front()->request.fields, "X-Id"), "r3");
+}
+
 // Guards against requests that are taken for delayed because the clock of their node has started anew.
 TEST_F(node_with_raw_peer, delay_is_not_compared_with_that_of_an_earlier_process)
 {
