Ask the node of a target before a large body is sent to it

The nodes that asked for 548 small calls of that target sent it 61 bodies of about 60 kB in the same time, on a line of 6 Mbit/s. Each node decides by its own view, so many send at once, and small frames overtake large ones at the sender only. Ruled out: its processor (its log goes on without gaps), the link at the senders (unsent=0, in_flight small), and the choice of the target alone, which had the delays of the links by then.

Change: a request with a body over 16 KiB is offered; the target's node grants offers in turn, so that at most 256 KiB of bodies are on the way to it, a granted body counting for at most 0.5 s. An offer is refused at once if the bodies before it take longer than a quarter of its time left, by the measured time for each byte, and after that time if they do. A refusal costs no body, and the entry node goes on to another target. A request whose link closes before its grant has not been sent, and is placed again instead of answered with 502. Earlier builds, which don't say that they accept offers, get requests as before.

Large requests between nodes take one round trip more.

--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -37,6 +37,7 @@
     frame.set_sent_us(static_cast<std::uint64_t>(boot_now().time_since_epoch().count()));
     if (frame.has_hello()) {
         frame.mutable_hello()->set_accepts_parts(true);
+        frame.mutable_hello()->set_accepts_offers(true);
     }
     const auto is_request_dropped =
         frame.has_cancel() && drop_frame(this->queue, hop::Frame::kRun, frame.cancel().id());
@@ -108,8 +109,9 @@
 /*! @brief Handles what concerns the link in a frame. */
 void peer_link::before_delivery(hop::Frame& frame)
 {
-    if (frame.has_hello() && frame.hello().accepts_parts()) {
-        this->queue.receiver_accepts_parts = true;
+    if (frame.has_hello()) {
+        this->queue.receiver_accepts_parts |= frame.hello().accepts_parts();
+        this->receiver_accepts_offers |= frame.hello().accepts_offers();
     }
     if (frame.has_cancel()) {
         drop_frame(this->queue, hop::Frame::kAnswer, frame.cancel().id());
@@ -144,7 +146,7 @@
     for (auto& frame : frames) {
         const auto callback = this->on_frame;
         const auto delay = this->queueing_delay(frame, this->last_received_at);
-        self->runs_received += frame.has_run() ? 1 : 0;
+        self->runs_received += frame.has_offer() || (frame.has_run() && !frame.run().offered()) ? 1 : 0;
         // A request isn't started if it was delayed in transit for so long that its cancellation has arrived
         // too.
         const auto is_cancelled = frame.has_run() && cancelled_ids.contains(frame.run().id());
--- a/src/gateway/peer_requests.cpp
+++ b/src/gateway/peer_requests.cpp
@@ -14,6 +14,15 @@
 /*! @brief Queueing delay above which a request is logged; many times the latency between data centres. */
 constexpr microseconds logged_queueing_delay{100'000};
 
+/*! @brief Returns a refusal without a load: the sender uses other targets until the next load arrives. */
+attempt_result refusal(const std::string& cause)
+{
+    attempt_result result{};
+    result.outcome = attempt_outcome::refused;
+    result.cause = cause;
+    return result;
+}
+
 } // namespace
 
 void peers::on_run(const peer_link::pointer& link, hop::Run& message, microseconds queueing_delay)
@@ -29,15 +38,13 @@
             origin->send(frame);
         }
     };
-    const auto refuse = [&](const std::string& cause) {
-        link->inbound_requests.emplace(id, 0);
-        attempt_result result{};
-        result.outcome = attempt_outcome::refused;
-        result.cause = cause;
-        respond(std::move(result));
-    };
+    if (message.offered()) {
+        link->inbound_requests.erase(id);
+        on_body_arrived(this->grants, link.get(), id, boot_now());
+        this->decide_on_offers();
+    }
     if (!this->serving) {
-        refuse("node_stops");
+        this->refuse(link, id, refusal("node_stops"));
         return;
     }
     // The remaining times in the frame are relative to its send time, so the queueing delay is subtracted.
@@ -49,13 +56,82 @@
     }
     // A cancellation takes as long as the request did, so the caller may have left before that time is over.
     if (milliseconds{message.time_left_ms()} < 2 * queueing_delay) {
-        refuse("held_up");
+        this->refuse(link, id, refusal("held_up"));
         return;
     }
     link->inbound_requests.emplace(
         id, this->shared.host.run(decode(message, boot_now() - queueing_delay), respond));
 }
 
+void peers::refuse(const peer_link::pointer& link, std::uint64_t id, attempt_result result)
+{
+    hop::Frame frame{};
+    encode(result, *frame.mutable_answer());
+    frame.mutable_answer()->set_id(id);
+    frame.mutable_answer()->set_runs_received(link->runs_received);
+    link->inbound_requests.erase(id);
+    link->send(frame);
+}
+
+void peers::refuse_offer(const peer_link::pointer& link, std::uint64_t id)
+{
+    auto result = refusal("line_full");
+    result.load = this->shared.host.load();
+    result.time_to_free_slot = expected_grant_wait(this->grants);
+    this->refuse(link, id, std::move(result));
+}
+
+void peers::on_offer(const peer_link::pointer& link, const hop::Offer& message)
+{
+    if (!this->serving) {
+        this->refuse(link, message.id(), refusal("node_stops"));
+        return;
+    }
+    link->inbound_requests.emplace(message.id(), 0);
+    if (!add_offer(this->grants, {link.get(), message.id(), static_cast<std::size_t>(message.bytes()), {}},
+                   milliseconds{message.time_left_ms()}, boot_now())) {
+        this->refuse_offer(link, message.id());
+        return;
+    }
+    this->decide_on_offers();
+}
+
+void peers::decide_on_offers()
+{
+    for (const auto& [offer, granted] : take_decisions(this->grants, boot_now())) {
+        const auto link = std::find_if(this->inbound_links.begin(), this->inbound_links.end(),
+                                       [&key = offer.link](const auto& each) { return each.get() == key; });
+        if (link == this->inbound_links.end()) {
+            continue;
+        }
+        if (!granted) {
+            this->refuse_offer(*link, offer.id);
+            continue;
+        }
+        hop::Frame frame{};
+        frame.mutable_grant()->set_id(offer.id);
+        (*link)->send(frame);
+    }
+}
+
+void peers::on_cancel(const peer_link::pointer& link, std::uint64_t id)
+{
+    if (const auto found = link->inbound_requests.find(id); found != link->inbound_requests.end()) {
+        this->shared.host.cancel(found->second);
+        link->inbound_requests.erase(found);
+    }
+    forget_offer(this->grants, link.get(), id);
+    this->decide_on_offers();
+}
+
+void peers::on_grant(const peer_link::pointer& link, std::uint64_t id)
+{
+    // A request that was cancelled after its offer is no longer there.
+    if (const auto offered = link->offered_requests.extract(id)) {
+        this->send_run(*link, id, *offered.mapped(), true);
+    }
+}
+
 void peers::on_response(const peer_link::pointer& link, hop::Answer& message)
 {
     const auto found = link->outbound_requests.find(message.id());
@@ -64,6 +140,7 @@
     }
     const auto done = std::move(found->second);
     link->outbound_requests.erase(found);
+    link->offered_requests.erase(message.id());
     if (auto* known = this->table.find(link->node)) {
         known->in_flight -= std::min(known->in_flight, 1U);
     }
@@ -86,20 +163,39 @@
     }
     const auto& link = found->second.link;
     const auto id = ++this->last_id;
-    hop::Frame frame{};
-    encode(*request, boot_now(), *frame.mutable_run());
-    frame.mutable_run()->set_id(id);
-    if (const auto shortest = link->delays->shortest()) {
-        frame.mutable_run()->set_shortest_delay_us(shortest->count());
-    }
-    link->send(frame);
     link->outbound_requests.emplace(id, std::move(done));
+    if (link->receiver_accepts_offers && request->body.size() > max_unasked_body_bytes) {
+        hop::Frame frame{};
+        const auto time_left =
+            std::chrono::duration_cast<milliseconds>(request->deadline - boot_now()).count();
+        frame.mutable_offer()->set_id(id);
+        frame.mutable_offer()->set_bytes(request->body.size());
+        frame.mutable_offer()->set_time_left_ms(
+            static_cast<std::uint32_t>(std::max<milliseconds::rep>(time_left, 0)));
+        link->offered_requests.emplace(id, request);
+        link->send(frame);
+    }
+    else {
+        this->send_run(*link, id, *request, false);
+    }
     ++known->in_flight;
     ++known->requests_sent;
     known->request_sent = true;
     return id;
 }
 
+void peers::send_run(peer_link& link, std::uint64_t id, const target_request& request, bool offered)
+{
+    hop::Frame frame{};
+    encode(request, boot_now(), *frame.mutable_run());
+    frame.mutable_run()->set_id(id);
+    frame.mutable_run()->set_offered(offered);
+    if (const auto shortest = link.delays->shortest()) {
+        frame.mutable_run()->set_shortest_delay_us(shortest->count());
+    }
+    link.send(frame);
+}
+
 void peers::cancel(std::string_view node, std::uint64_t id)
 {
     const auto found = this->outbound_links.find(node);
@@ -107,6 +203,7 @@
         found->second.link->outbound_requests.erase(id) == 0) {
         return;
     }
+    found->second.link->offered_requests.erase(id);
     const auto dropped_before = found->second.link->runs_dropped;
     hop::Frame frame{};
     frame.mutable_cancel()->set_id(id);
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -169,12 +169,14 @@
     case hop::Frame::kRun:
         this->on_run(link, *frame.mutable_run(), queueing_delay);
         break;
+    case hop::Frame::kOffer:
+        this->on_offer(link, frame.offer());
+        break;
+    case hop::Frame::kGrant:
+        this->on_grant(link, frame.grant().id());
+        break;
     case hop::Frame::kCancel:
-        if (const auto found = link->inbound_requests.find(frame.cancel().id());
-            found != link->inbound_requests.end()) {
-            this->shared.host.cancel(found->second);
-            link->inbound_requests.erase(found);
-        }
+        this->on_cancel(link, frame.cancel().id());
         break;
     case hop::Frame::kAnswer:
         this->on_response(link, *frame.mutable_answer());
@@ -288,6 +290,7 @@
         this->shared.host.cancel(local_id);
     }
     this->inbound_links.erase(link);
+    forget_link(this->grants, link.get());
     if (link->outbound) {
         this->set_reachable(link->node, false, cause);
         if (const auto found = this->outbound_links.find(link->node);
@@ -303,7 +306,8 @@
     }
     for (auto& [id, done] : std::exchange(link->outbound_requests, {})) {
         attempt_result result{};
-        result.outcome = attempt_outcome::lost;
+        result.outcome =
+            link->offered_requests.contains(id) ? attempt_outcome::unreachable : attempt_outcome::lost;
         result.cause = "link to " + link->node + ": " + cause;
         done(std::move(result));
     }
@@ -396,6 +400,7 @@
             this->dial(node, peer);
         }
     }
+    this->decide_on_offers();
     if (is_behind(this->configs.state())) {
         this->configs.on_tick(this->self().data_centre, now);
     }
--- a/src/gateway/peers.hpp
+++ b/src/gateway/peers.hpp
@@ -15,6 +15,7 @@
 #include <kumquatdrift/telemetry/event_log.hpp>
 #include <kumquatdrift/traffic/quarantine.hpp>
 
+#include "body_grants.hpp"
 #include "config_exchange.hpp"
 #include "peer_link.hpp"
 #include "target_host.hpp"
@@ -164,7 +165,14 @@
     void on_hello(const peer_link::pointer& link, const hop::Hello& hello);
     void on_member_record(const peer_link::pointer& link, const hop::Member& message);
     void on_run(const peer_link::pointer& link, hop::Run& message, microseconds queueing_delay);
+    void on_offer(const peer_link::pointer& link, const hop::Offer& message);
+    void on_grant(const peer_link::pointer& link, std::uint64_t id);
+    void on_cancel(const peer_link::pointer& link, std::uint64_t id);
     void on_response(const peer_link::pointer& link, hop::Answer& message);
+    void send_run(peer_link& link, std::uint64_t id, const target_request& request, bool offered);
+    void refuse(const peer_link::pointer& link, std::uint64_t id, attempt_result result);
+    void refuse_offer(const peer_link::pointer& link, std::uint64_t id);
+    void decide_on_offers();
     void share_delays(peer_link& link, std::uint64_t started_ms);
     void on_closed(const peer_link::pointer& link, const std::string& cause);
     void close_link(const peer_link::pointer& link, const std::string& cause);
@@ -181,6 +189,7 @@
     link_metrics metrics;
     member_table table{};
     config_exchange configs;
+    body_grants grants{};
     std::map<std::string, outbound_link, std::less<>> outbound_links{};
     std::unordered_set<peer_link::pointer> inbound_links{};
     std::uint64_t last_id{};
