Count an offered request that is cancelled while it is sent only once

Since offers a request counts as arrived when its offer has. If the request was cancelled while its body was still queued, the sender also took it off the requests that it had sent, so that more had arrived than were sent: the node seemed to have 4,294,967,295 requests in transit, and got none until its next load.

--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -117,7 +117,8 @@
     /*! @brief Number of requests that were dropped before they were sent entirely, so that they never arrive.
      */
     std::uint64_t runs_dropped{};
-    /*! @brief Requests with large bodies that wait for the other node's grant, by id. */
+    /*! @brief Requests that were offered and are not completed, by id; null once they were granted and sent.
+     */
     std::unordered_map<std::uint64_t, target_request_ptr> offered_requests{};
     /*! @brief True if the other node accepts offers of requests. */
     bool receiver_accepts_offers{};
--- a/src/gateway/peer_requests.cpp
+++ b/src/gateway/peer_requests.cpp
@@ -127,8 +127,12 @@
 void peers::on_grant(const peer_link::pointer& link, std::uint64_t id)
 {
     // A request that was cancelled after its offer is no longer there.
-    if (const auto offered = link->offered_requests.extract(id)) {
-        this->send_run(*link, id, *offered.mapped(), true);
+    const auto offered = link->offered_requests.find(id);
+    if (offered == link->offered_requests.end()) {
+        return;
+    }
+    if (const auto request = std::exchange(offered->second, nullptr)) {
+        this->send_run(*link, id, *request, true);
     }
 }
 
@@ -203,14 +207,15 @@
         found->second.link->outbound_requests.erase(id) == 0) {
         return;
     }
-    found->second.link->offered_requests.erase(id);
+    const auto was_offered = found->second.link->offered_requests.erase(id) != 0;
     const auto dropped_before = found->second.link->runs_dropped;
     hop::Frame frame{};
     frame.mutable_cancel()->set_id(id);
     found->second.link->send(frame);
     if (auto* known = this->table.find(node)) {
         known->in_flight -= std::min(known->in_flight, 1U);
-        known->requests_sent -= found->second.link->runs_dropped - dropped_before;
+        // The other node has counted an offered request when its offer arrived.
+        known->requests_sent -= was_offered ? 0 : found->second.link->runs_dropped - dropped_before;
     }
 }
 
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -306,8 +306,9 @@
     }
     for (auto& [id, done] : std::exchange(link->outbound_requests, {})) {
         attempt_result result{};
-        result.outcome =
-            link->offered_requests.contains(id) ? attempt_outcome::unreachable : attempt_outcome::lost;
+        const auto offered = link->offered_requests.find(id);
+        const auto was_sent = offered == link->offered_requests.end() || offered->second == nullptr;
+        result.outcome = was_sent ? attempt_outcome::lost : attempt_outcome::unreachable;
         result.cause = "link to " + link->node + ": " + cause;
         done(std::move(result));
     }
--- a/tests/gateway/offered_requests.cpp
+++ b/tests/gateway/offered_requests.cpp
@@ -53,11 +53,12 @@
         this->greet(true);
     }
 
-    void greet(bool accepts_offers)
+    void greet(bool accepts_offers, bool accepts_parts = false)
     {
         hop::Frame hello{};
         encode(this->other, *hello.mutable_hello()->mutable_self());
         hello.mutable_hello()->set_accepts_offers(accepts_offers);
+        hello.mutable_hello()->set_accepts_parts(accepts_parts);
         this->send(hello);
     }
 
@@ -91,10 +92,10 @@
         return found;
     }
 
-    std::uint64_t run_large(const std::string& id)
+    std::uint64_t run_large(const std::string& id, std::size_t bytes = large_body_bytes)
     {
         auto request = std::make_shared<target_request>(*make_target_request(id, false));
-        request->body = std::string(large_body_bytes, 'x');
+        request->body = std::string(bytes, 'x');
         return this->links.run("other", request,
                                [this](const attempt_result& result) { this->results.push_back(result); });
     }
@@ -187,6 +188,27 @@
     EXPECT_FALSE(this->receive(hop::Frame::kRun));
 }
 
+// Guards against requests that count as in transit, and others that do not, after a cancellation.
+TEST_F(node_with_scripted_peer, request_that_was_cancelled_while_it_was_sent_is_not_in_transit)
+{
+    this->connect(true);
+    this->greet(true, true);
+    this->world.run_for(milliseconds{20});
+    const auto id = this->run_large("r1", 8'000'000);
+    ASSERT_TRUE(this->receive(hop::Frame::kOffer));
+    hop::Frame pong{};
+    pong.mutable_pong()->set_runs_received(1);
+    this->send(pong);
+    const auto& known = *this->links.members().find("other");
+    ASSERT_TRUE(this->world.run_until([&] { return known.requests_arrived == 1; }));
+    hop::Frame grant{};
+    grant.mutable_grant()->set_id(id);
+    this->send(grant);
+    this->world.run_for(milliseconds{50});
+    this->links.cancel("other", id);
+    EXPECT_EQ(known.sent_since_load(), 0U);
+}
+
 // Guards against a 502 for a request of which no byte has left the node.
 TEST_F(node_with_scripted_peer, request_whose_link_closes_before_its_grant_was_not_sent)
 {
