Let the delay of the line decide how many bodies are on their way to a node

Change: the number starts at 256 KiB and is adjusted every 0.1 s. If even the fastest small frame of that time was over 50 ms late, the line to this node is congested, and the number falls to three quarters, 64 KiB at least; frames of nodes whose own lines are congested don't count, as others come in time. Otherwise it rises by a quarter, up to 4 MiB, if an offer didn't fit.

Unit tests: gateway.node_with_offered_bodies.window_*.

--- a/src/gateway/body_grants.cpp
+++ b/src/gateway/body_grants.cpp
@@ -61,16 +61,33 @@
     });
     auto in_transit = bytes_in_transit(grants);
     while (!grants.waiting.empty() &&
-           (in_transit == 0 || in_transit + grants.waiting.front().bytes <= max_granted_bytes)) {
+           (in_transit == 0 || in_transit + grants.waiting.front().bytes <= grants.window_bytes)) {
         const auto offer = grants.waiting.front();
         grants.waiting.pop_front();
         in_transit += offer.bytes;
         grants.granted.push_back({offer, now, in_transit});
         decisions.push_back({offer, true});
     }
+    grants.is_window_full = grants.is_window_full || !grants.waiting.empty();
     return decisions;
 }
 
+void observe_line_delay(body_grants& grants, microseconds delay, timestamp now)
+{
+    if (now >= grants.interval_end) {
+        if (grants.shortest_delay.value_or(microseconds{0}) > max_line_delay) {
+            grants.window_bytes = std::max(grants.window_bytes / 4 * 3, min_window_bytes);
+        }
+        else if (grants.is_window_full) {
+            grants.window_bytes = std::min(grants.window_bytes / 4 * 5, max_window_bytes);
+        }
+        grants.shortest_delay.reset();
+        grants.is_window_full = false;
+        grants.interval_end = now + window_interval;
+    }
+    grants.shortest_delay = std::min(grants.shortest_delay.value_or(delay), delay);
+}
+
 void on_body_arrived(body_grants& grants, const void* link, std::uint64_t id, timestamp now)
 {
     const auto found = std::find_if(grants.granted.begin(), grants.granted.end(), [&](const auto& body) {
--- a/src/gateway/body_grants.hpp
+++ b/src/gateway/body_grants.hpp
@@ -13,9 +13,18 @@
 
 /*! @brief Size of a request body in bytes above which a node asks the target's node before it sends it. */
 constexpr std::size_t max_unasked_body_bytes = 16'384;
-/*! @brief Number of bytes of granted bodies that may be in transit to a node at the same time; 350 ms on a
- * link of 6 Mbit/s. A larger body is granted on its own. */
-constexpr std::size_t max_granted_bytes = 262'144;
+/*! @brief Number of bytes of granted bodies that may be in transit to a node at the same time, at first. A
+ * larger body is granted on its own. */
+constexpr std::size_t initial_window_bytes = 262'144;
+/*! @brief Smallest such number; 87 ms on a line of 6 Mbit/s. */
+constexpr std::size_t min_window_bytes = 65'536;
+/*! @brief Largest such number. */
+constexpr std::size_t max_window_bytes = 4'194'304;
+/*! @brief Interval after which the number is adjusted. */
+constexpr microseconds window_interval{100'000};
+/*! @brief Queueing delay of the fastest frame of an interval above which the line to this node is congested:
+ * frames of other nodes, whose own lines may be, don't count. */
+constexpr microseconds max_line_delay{50'000};
 /*! @brief Time after which a granted body no longer counts as in transit, so that slow senders don't stop the
  * others. */
 constexpr microseconds max_grant_time{500'000};
@@ -61,6 +70,14 @@
     std::deque<body_offer> waiting{};
     /*! @brief Granted bodies, in the order of their grants. */
     std::vector<granted_body> granted{};
+    /*! @brief Number of bytes of granted bodies that may be in transit. */
+    std::size_t window_bytes{initial_window_bytes};
+    /*! @brief True if an offer didn't fit into the window in this interval. */
+    bool is_window_full{};
+    /*! @brief End of the interval. */
+    timestamp interval_end{};
+    /*! @brief Shortest queueing delay of the interval; nothing until the first. */
+    std::optional<microseconds> shortest_delay{};
     /*! @brief Mean time that a byte takes to arrive while others are in transit; nothing until a body has. */
     std::optional<double> seconds_per_byte{};
 };
@@ -90,6 +107,14 @@
  */
 [[nodiscard]] std::vector<grant_decision> take_decisions(body_grants& grants, timestamp now);
 
+/**
+ * @brief Records the queueing delay of a small frame, and adjusts the window at the end of an interval.
+ * @param grants State; updated.
+ * @param delay Queueing delay.
+ * @param now Current time.
+ */
+void observe_line_delay(body_grants& grants, microseconds delay, timestamp now);
+
 /**
  * @brief Records that a granted body has arrived.
  * @param grants State; updated.
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -159,6 +159,10 @@
 
 void peers::on_frame(const peer_link::pointer& link, hop::Frame& frame, microseconds queueing_delay)
 {
+    if (frame.has_ping() || frame.has_pong() || frame.has_offer() ||
+        (frame.has_run() && !frame.run().offered())) {
+        observe_line_delay(this->grants, queueing_delay, boot_now());
+    }
     switch (frame.kind_case()) {
     case hop::Frame::kHello:
         this->on_hello(link, frame.hello());
--- a/tests/gateway/body_grants.cpp
+++ b/tests/gateway/body_grants.cpp
@@ -55,7 +55,7 @@
 TEST_F(node_with_offered_bodies, grants_a_body_above_the_limit_on_its_own)
 {
     EXPECT_TRUE(this->offer(1));
-    EXPECT_TRUE(this->offer(2, 2 * max_granted_bytes));
+    EXPECT_TRUE(this->offer(2, 2 * initial_window_bytes));
     EXPECT_EQ(this->decide(), ids{1});
     this->arrive(1);
     EXPECT_EQ(this->decide(), ids{2});
@@ -63,7 +63,7 @@
 
 TEST_F(node_with_offered_bodies, refuses_offers_that_have_waited_for_too_long)
 {
-    EXPECT_TRUE(this->offer(1, max_granted_bytes));
+    EXPECT_TRUE(this->offer(1, initial_window_bytes));
     EXPECT_TRUE(this->offer(2, body_bytes, milliseconds{400}));
     EXPECT_EQ(this->decide(), ids{1});
     this->now += milliseconds{99};
@@ -89,9 +89,42 @@
     EXPECT_TRUE(this->offer(200, body_bytes, std::chrono::seconds{20}));
 }
 
+TEST_F(node_with_offered_bodies, window_shrinks_while_all_frames_are_late)
+{
+    for (int interval = 0; interval < 20; ++interval) {
+        observe_line_delay(this->grants, milliseconds{400}, this->now);
+        observe_line_delay(this->grants, milliseconds{51}, this->now);
+        this->now += window_interval;
+    }
+    EXPECT_EQ(this->grants.window_bytes, min_window_bytes);
+}
+
+TEST_F(node_with_offered_bodies, window_stays_while_frames_of_some_nodes_are_late)
+{
+    for (int interval = 0; interval < 20; ++interval) {
+        observe_line_delay(this->grants, milliseconds{400}, this->now);
+        observe_line_delay(this->grants, milliseconds{2}, this->now);
+        this->now += window_interval;
+    }
+    EXPECT_EQ(this->grants.window_bytes, initial_window_bytes);
+}
+
+TEST_F(node_with_offered_bodies, window_grows_while_offers_wait_and_frames_are_punctual)
+{
+    EXPECT_TRUE(this->offer(1, initial_window_bytes));
+    for (std::uint64_t interval = 2; interval < 5; ++interval) {
+        EXPECT_TRUE(this->offer(interval));
+        (void)this->decide();
+        observe_line_delay(this->grants, milliseconds{1}, this->now);
+        this->now += window_interval;
+    }
+    EXPECT_GT(this->grants.window_bytes, initial_window_bytes);
+    EXPECT_LT(this->grants.window_bytes, 2 * initial_window_bytes);
+}
+
 TEST_F(node_with_offered_bodies, slow_senders_do_not_stop_others)
 {
-    EXPECT_TRUE(this->offer(1, max_granted_bytes));
+    EXPECT_TRUE(this->offer(1, initial_window_bytes));
     EXPECT_EQ(this->decide(), ids{1});
     this->now += max_grant_time;
     EXPECT_TRUE(this->offer(2));
@@ -100,7 +133,7 @@
 
 TEST_F(node_with_offered_bodies, cancelled_requests_and_closed_links_make_room)
 {
-    EXPECT_TRUE(this->offer(1, max_granted_bytes));
+    EXPECT_TRUE(this->offer(1, initial_window_bytes));
     EXPECT_TRUE(this->offer(2));
     EXPECT_TRUE(this->offer(3));
     EXPECT_EQ(this->decide(), ids{1});
--- a/tests/gateway/offered_requests.cpp
+++ b/tests/gateway/offered_requests.cpp
@@ -237,7 +237,7 @@
 TEST_F(node_with_scripted_peer, cancelled_offer_makes_room)
 {
     this->accept();
-    this->offer(1, max_granted_bytes);
+    this->offer(1, initial_window_bytes);
     this->offer(2);
     EXPECT_EQ(this->granted_id(), 1U);
     hop::Frame cancel{};
@@ -249,7 +249,7 @@
 TEST_F(node_with_scripted_peer, offer_that_waits_for_too_long_is_refused_with_the_load)
 {
     this->accept();
-    this->offer(1, max_granted_bytes);
+    this->offer(1, initial_window_bytes);
     this->offer(2);
     EXPECT_EQ(this->granted_id(), 1U);
     std::optional<hop::Frame> refused{};
