Let the soak end when it finds a fault, and send large bodies in it

The soak appended lines of the logs to the list of faults that it was reading, and each such line to the list again: with a fault it never ended, so that it could only pass, or run into a time limit.

Change: lines of the logs of the first 10 faults are collected in a list of their own. A third of the uploads have 24 kB, so that they are offered first, and what targets get is compared with what was sent. A counter without use is gone.

--- a/tests/process/soak_test.py
+++ b/tests/process/soak_test.py
@@ -20,6 +20,10 @@
 from gateway_test import DRAIN_S, ROUTES, SERVICES, Node, wait_until  # noqa: E402
 from target_notice_test import STABLE_WINDOW_S, WINDOW_S, allowed  # noqa: E402
 
+# An attempt id repeated so often is a body of about 24 kB.
+LARGE_REPEATS = 1_000
+# Number of faults for which lines of the logs are printed.
+MAX_EXPLAINED = 10
 SERVICE_OF_NODE = ["desk", "desk", "board", "desk", "board"]
 
 
@@ -28,7 +32,6 @@
 
     def __init__(self, node, rng):
         self.rng = rng
-        self.faults = collections.Counter()
         self.spoiled = set()
         self.limits = []  # (time, limit or None)
         self.told = {}  # Name of the entry node -> time of the first answer with Server-Leaving.
@@ -93,10 +96,12 @@
         while not self.stop.is_set():
             path, method = rng.choice([("/read/x", "GET"), ("/board/x", "GET"), ("/book/x", "POST")])
             attempt = "%s_%s" % (node.name, os.urandom(8).hex())
+            # Large bodies are offered to the target's node before they are sent.
+            content = attempt.encode() * rng.choice([1, 1, LARGE_REPEATS]) if method == "POST" else b""
             sent, status, body = time.monotonic(), "closed", b""
             try:
                 connection = connection or http.client.HTTPConnection(node.ip, node.callers, timeout=5)
-                connection.request(method, path, b"body" if method == "POST" else None, {
+                connection.request(method, path, content or None, {
                     "Host": "desk.example", "X-Kumquatdrift-Deadline-Ms": "1500", "X-Kumquatdrift-Attempt-Id": attempt})
                 response = connection.getresponse()
                 body, status = response.read(), response.status
@@ -172,10 +177,12 @@
     def faults(self):
         """Returns each broken promise as a line of text."""
         runs = collections.defaultdict(list)
+        found = []
         for target in self.all_targets:
-            for attempt, when, _, _ in target.executions:
+            for attempt, when, _, content in target.executions:
                 runs[attempt].append((target, when))
-        found = []
+                if content not in (b"", attempt.encode(), attempt.encode() * LARGE_REPEATS):
+                    found.append("changed body: %s, %d bytes" % (attempt, len(content)))
         for node, attempt, sent, ended, status, body, method in self.results:
             what = "%s %s %s at %s, runs %d" % (method, attempt, status, node.name, len(runs[attempt]))
             if method == "POST" and len(runs[attempt]) > 1:
@@ -224,11 +231,9 @@
         try:
             soak.run(seconds)
             faults = soak.faults()
-            for line in faults:
-                for part in line.split():
-                    for node in soak.nodes if "_" in part else []:
-                        faults += [entry for entry in node.log().splitlines() if part in entry][:3]
-            return faults, collections.Counter(result[4] for result in soak.results)
+            lines = [entry for line in faults[:MAX_EXPLAINED] for part in line.split() if "_" in part
+                     for node in soak.nodes for entry in [each for each in node.log().splitlines() if part in each][:3]]
+            return faults + lines, collections.Counter(result[4] for result in soak.results)
         finally:
             soak.close()
 
