Log and count the decisions on offers of large bodies

A refusal shows at the entry node only, as line_full of the request; why the node of the target refused it could not be told. offer_refused names the bodies that wait and are in transit, the window and the expected wait; gateway_offers_total counts grants and refusals. Checked in gateway.node_with_scripted_peer.offer_that_waits_for_too_long_is_refused_with_the_load.

--- a/src/gateway/peer_requests.cpp
+++ b/src/gateway/peer_requests.cpp
@@ -78,9 +78,22 @@
     auto result = refusal("line_full");
     result.load = this->shared.host.load();
     result.time_to_free_slot = expected_grant_wait(this->grants);
+    this->count_decision("refused");
+    this->shared.log.write(log_level::info, event_class::failed_request, "peers", "offer_refused",
+                           "node={} waiting={} in_transit={} window_bytes={} wait_ms={}", link->node,
+                           this->grants.waiting.size(), this->grants.granted.size(),
+                           this->grants.window_bytes,
+                           std::chrono::duration_cast<milliseconds>(result.time_to_free_slot).count());
     this->refuse(link, id, std::move(result));
 }
 
+void peers::count_decision(const std::string& decision)
+{
+    this->shared.metrics
+        .counter_of("gateway_offers_total", "Offers of large bodies by decision", {{"decision", decision}})
+        .add();
+}
+
 void peers::on_offer(const peer_link::pointer& link, const hop::Offer& message)
 {
     if (!this->serving) {
@@ -108,6 +121,7 @@
             this->refuse_offer(*link, offer.id);
             continue;
         }
+        this->count_decision("granted");
         hop::Frame frame{};
         frame.mutable_grant()->set_id(offer.id);
         (*link)->send(frame);
--- a/src/gateway/peers.hpp
+++ b/src/gateway/peers.hpp
@@ -173,6 +173,7 @@
     void refuse(const peer_link::pointer& link, std::uint64_t id, attempt_result result);
     void refuse_offer(const peer_link::pointer& link, std::uint64_t id);
     void decide_on_offers();
+    void count_decision(const std::string& decision);
     void share_delays(peer_link& link, std::uint64_t started_ms);
     void on_closed(const peer_link::pointer& link, const std::string& cause);
     void close_link(const peer_link::pointer& link, const std::string& cause);
--- a/tests/gateway/offered_requests.cpp
+++ b/tests/gateway/offered_requests.cpp
@@ -261,6 +261,9 @@
     EXPECT_EQ(refused->answer().end(), static_cast<std::uint32_t>(attempt_outcome::refused));
     EXPECT_EQ(refused->answer().load().slots(), this->host.load().slots);
     EXPECT_EQ(refused->answer().runs_received(), 2U);
+    const auto exposition = this->world.metrics.exposition();
+    EXPECT_NE(exposition.find("gateway_offers_total{decision=\"granted\"} 1"), std::string::npos);
+    EXPECT_NE(exposition.find("gateway_offers_total{decision=\"refused\"} 1"), std::string::npos);
 }
 
 TEST_F(node_with_scripted_peer, offers_are_refused_while_the_node_stops)
