Give each run of the process tests loopback addresses of its own

Cause, by the log of the third node: "start_failed cause=cannot listen on 127.0.0.13:34229: Address already in use". Suites that run beside each other start nodes on the same addresses, and free_ports closes a port that it has found before the node listens on it, so another suite can take it.

Change: the second and third number of the addresses come from the process id, so that only nodes of one process share them.

--- a/tests/process/gateway_test.py
+++ b/tests/process/gateway_test.py
@@ -30,6 +30,11 @@
           ("/papers/", "upload", "desk", 2), ("/board/", "idempotent", "board", 2)]
 
 
+def loopback_address(number):
+    """Returns an address that only this process uses, so that no other one takes a port which `free_ports` has found."""
+    return "127.%d.%d.%d" % (1 + os.getpid() // 250 % 250, os.getpid() % 250, number)
+
+
 def free_ports(ip, count):
     sockets = [socket.socket() for _ in range(count)]
     for bound in sockets:
@@ -54,7 +59,7 @@
 
     def __init__(self, folder, number, data_centre, service, store_address):
         self.name = "node-%d" % number
-        self.ip = "127.0.0.%d" % (10 + number)
+        self.ip = loopback_address(10 + number)
         self.callers, peers, reports, ready, metrics = free_ports(self.ip, 5)
         self.reports = "%s:%d" % (self.ip, reports)
         self.ready, self.metrics = ready, metrics
@@ -322,7 +327,7 @@
 class GatewayLaggingConfiguration(GatewayTest):
     def connect_peer(self, name, number, config_version):
         """Links a peer to the first node and waits until that node has received its record."""
-        peer = FakePeer(name, "127.0.0.%d" % number, config_version, self.nodes[0].settings["listen"]["peers"])
+        peer = FakePeer(name, loopback_address(number), config_version, self.nodes[0].settings["listen"]["peers"])
         self.addCleanup(peer.close)
         wait_until(lambda: "event=node_reachable node=%s " % name in self.nodes[0].log(), name + " is reachable")
 
@@ -408,7 +413,7 @@
 
         node = self.nodes[2]
         self.targets[2].on_request = send_long_response
-        peer = FakePeer("slow-peer", "127.0.0.40", 5, node.settings["listen"]["peers"])
+        peer = FakePeer("slow-peer", loopback_address(40), 5, node.settings["listen"]["peers"])
         self.addCleanup(peer.close)
         link = socket.socket()
         self.addCleanup(link.close)
