Fail only the first attempt in two tests of retries

Cause: the fixture. A thread of the test polled until the target had received the first request, and then let it respond. If that thread is late by a few milliseconds, the second attempt is reset too and a third one runs: the product's limit is three attempts.

Ruled out: a retry too many by the proxy.

Change: fake_target::behave_once handles one request differently, decided by the target under its own lock. The assertions of both tests are as before. earlier_attempt_that_may_have_run_is_not_reported_as_not_run had the same race and uses it too.

--- a/tests/proxy/failures.cpp
+++ b/tests/proxy/failures.cpp
@@ -178,16 +178,9 @@
 {
     this->route.idempotent = true;
     this->start_with_target();
-    this->target.behave(behaviour::reset_before_response);
-    std::thread recovery{[this] {
-        while (this->target.heads().empty()) {
-            std::this_thread::sleep_for(milliseconds{1});
-        }
-        this->target.behave(behaviour::respond);
-    }};
+    this->target.behave_once(behaviour::reset_before_response);
     const std::string body(50'000, 'b');
     const auto response = this->call("x", body);
-    recovery.join();
     EXPECT_EQ(response.status, 200U) << response.body;
     EXPECT_EQ(response.body.rfind("id=x bytes=50000 digest=", 0), 0U) << response.body;
     EXPECT_EQ(this->target.runs("x"), 2U);
@@ -199,15 +192,9 @@
     this->route.idempotent = true;
     this->route.retry.max_attempts = 2;
     this->start_with_target();
-    this->target.behave(behaviour::reset_before_response);
-    std::thread behaviour_change{[this] {
-        while (this->target.heads().empty()) {
-            std::this_thread::sleep_for(milliseconds{1});
-        }
-        this->target.behave(behaviour::reject_as_not_run);
-    }};
+    this->target.behave(behaviour::reject_as_not_run);
+    this->target.behave_once(behaviour::reset_before_response);
     const auto response = this->call("x", "body");
-    behaviour_change.join();
     EXPECT_EQ(response.status, 503U);
     EXPECT_EQ(response.verdict(), "may_have_run");
 }
--- a/tests/proxy/fake_target.cpp
+++ b/tests/proxy/fake_target.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <optional>
+#include <utility>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
@@ -129,6 +130,12 @@
     this->action = next;
 }
 
+void fake_target::behave_once(behaviour first)
+{
+    const std::lock_guard lock{this->mutex};
+    this->next_action = first;
+}
+
 void fake_target::stop()
 {
     if (this->stopping.exchange(true)) {
@@ -209,11 +216,12 @@
     }
     const auto head = buffer.substr(0, end + 2);
     buffer.erase(0, end + head_end.size());
+    auto selected = this->action.load();
     {
         const std::lock_guard lock{this->mutex};
         this->request_heads.push_back(head);
+        selected = std::exchange(this->next_action, std::nullopt).value_or(selected);
     }
-    const auto selected = this->action.load();
     if (selected == behaviour::reset_before_body) {
         reset(socket);
         return false;
--- a/tests/proxy/fake_target.hpp
+++ b/tests/proxy/fake_target.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -51,6 +52,8 @@
     }
 
     void behave(behaviour next, milliseconds delay = milliseconds{0});
+    // Handles the next request as `first`, and the requests after it as set by `behave`.
+    void behave_once(behaviour first);
 
     // Stops accepting connections and shuts down the open ones.
     void stop();
@@ -91,6 +94,7 @@
     mutable std::mutex mutex{};
     std::map<std::string, std::uint64_t> runs_by_id{};
     std::vector<std::string> request_heads{};
+    std::optional<behaviour> next_action{};
     std::vector<Poco::Net::StreamSocket> sockets{};
     std::vector<std::thread> threads{};
     std::thread acceptor;
