Refuse the response to another attempt in the daemon

Operators' list: a server sent a second copy of a response, late, on a connection that was in use again, and the next caller got a response that wasn't its own.

It could happen in kumquatdriftd. Bytes that arrive while a connection is idle close it, but a copy that arrives after the next request was sent is the next response by HTTP/1.1.

Change: targets get the number of the attempt, x-kumquatdrift-attempt, and a response with another number is malformed. target_server repeats it.

Ruled out: comparing X-Request-Id, which servers may set to ids of their own; using each connection once, which costs a connect for each request.

Left: a target that doesn't repeat the header has only the check of idle connections (docs/design.md).

--- a/include/kumquatdrift/proxy/headers.hpp
+++ b/include/kumquatdrift/proxy/headers.hpp
@@ -17,6 +17,10 @@
 /*! @brief Verdict; set on every response that the proxy itself generates. A target may send it too. */
 inline constexpr std::string_view verdict_header = "x-kumquatdrift-verdict";
 
+/*! @brief Number of the attempt, sent to the target. A target that repeats it in its response is protected
+ * from a response that is taken for that of another request, such as a second copy. */
+inline constexpr std::string_view attempt_header = "x-kumquatdrift-attempt";
+
 /*! @brief Load of the target as `in_use/queued/slots`; sent by the target's node to the entry node. */
 inline constexpr std::string_view load_header = "x-kumquatdrift-load";
 
--- a/src/proxy/outbound_request.cpp
+++ b/src/proxy/outbound_request.cpp
@@ -57,8 +57,9 @@
     return std::to_string(std::max(peer_time, milliseconds{0}).count());
 }
 
-outbound_request::outbound_request(pooled_connection acquired, hop_peer peer, const client_request& source)
-    : connection{std::move(acquired)}, request{source},
+outbound_request::outbound_request(pooled_connection acquired, hop_peer peer, const client_request& source,
+                                   std::string attempt_number)
+    : connection{std::move(acquired)}, request{source}, attempt{std::move(attempt_number)},
       sent_bytes_at_start{this->connection.io().sent_bytes()}, is_chunked{!source.body.length()}
 {
     this->observation.peer = peer;
@@ -94,6 +95,9 @@
         head += "Expect: 100-continue\r\n";
     }
     append_field(head, trace_header, format_traceparent(this->request.trace));
+    if (!this->attempt.empty()) {
+        append_field(head, attempt_header, this->attempt);
+    }
     head += extra_fields;
     head += "\r\n";
     return head;
@@ -245,7 +249,7 @@
     }
     constexpr unsigned switching_protocols = 101;
     const auto code = this->response().result_int();
-    if (code == switching_protocols) {
+    if (code == switching_protocols || this->is_response_to_another_attempt()) {
         this->fail(hop_end::malformed_answer);
         return false;
     }
@@ -262,6 +266,12 @@
     return true;
 }
 
+bool outbound_request::is_response_to_another_attempt() const
+{
+    const auto number = field_of(this->response(), attempt_header);
+    return !this->attempt.empty() && !number.empty() && number != this->attempt;
+}
+
 response_head outbound_request::make_relayed_head(std::string_view extra_fields) const
 {
     const auto& received = this->response();
--- a/src/proxy/outbound_request.hpp
+++ b/src/proxy/outbound_request.hpp
@@ -73,8 +73,11 @@
      * @param acquired Connection.
      * @param peer Kind of the peer.
      * @param source Request to send; must outlive this object.
+     * @param attempt_number Number of the attempt that a response has to have if it has one; empty to send
+     * none.
      */
-    outbound_request(pooled_connection acquired, hop_peer peer, const client_request& source);
+    outbound_request(pooled_connection acquired, hop_peer peer, const client_request& source,
+                     std::string attempt_number = {});
 
     /**
      * @brief Sends the request and receives the head of the final response.
@@ -124,6 +127,7 @@
     [[nodiscard]] bool has_final_head() const noexcept;
     [[nodiscard]] bool receive_final_head();
     [[nodiscard]] bool receive_head();
+    [[nodiscard]] bool is_response_to_another_attempt() const;
     [[nodiscard]] response_head make_relayed_head(std::string_view extra_fields) const;
     [[nodiscard]] hop_end relay_body(body_copy* copy);
     [[nodiscard]] timestamp io_deadline() const;
@@ -133,6 +137,7 @@
 
     pooled_connection connection;
     const client_request& request;
+    std::string attempt;
     hop_observation observation{};
     std::optional<response_reader> reader{};
     std::optional<read_status> body_read_error{};
--- a/src/proxy/target_host.cpp
+++ b/src/proxy/target_host.cpp
@@ -270,7 +270,8 @@
     }
     std::string fields;
     append_field(fields, deadline_header, deadline_text(request.deadline));
-    result.sent.emplace(std::move(acquired.connection), hop_peer::target, request);
+    result.sent.emplace(std::move(acquired.connection), hop_peer::target, request,
+                        std::to_string(this->next_id.fetch_add(1)));
     const auto has_response = result.sent->send_and_receive_head(fields, false);
     result.observation = result.sent->observed();
     if (!has_response) {
--- a/tests/proxy/failures.cpp
+++ b/tests/proxy/failures.cpp
@@ -235,6 +235,29 @@
     }
 }
 
+// Guards against a second copy of a response that reaches the next caller over the same pooled connection.
+TEST_F(proxy_failure, late_copy_of_a_response_never_reaches_another_caller)
+{
+    this->start_with_target();
+    this->target.behave(behaviour::repeat_previous_response);
+    int refused{};
+    for (int index = 0; index < 10; ++index) {
+        const auto id = std::to_string(index);
+        const auto response = this->call(id, "body");
+        if (response.status == 200U) {
+            EXPECT_EQ(response.body.rfind("id=" + id + " ", 0), 0U) << response.body;
+        }
+        else {
+            ++refused;
+            EXPECT_EQ(response.status, 502U);
+            EXPECT_EQ(response.verdict(), "may_have_run");
+        }
+        EXPECT_EQ(this->target.runs(id), 1U);
+        std::this_thread::sleep_for(milliseconds{20});
+    }
+    EXPECT_GT(refused, 0) << "no connection was reused";
+}
+
 // Guards against a request that keeps running, and holds its slot, after its caller has disconnected.
 TEST_F(proxy_failure, cancelled_request_closes_the_connection_to_the_target)
 {
--- a/tests/proxy/fake_target.cpp
+++ b/tests/proxy/fake_target.cpp
@@ -85,9 +85,9 @@
     socket.sendBytes(text.data(), static_cast<int>(text.size()));
 }
 
-std::string response_with_length(const std::string& text, std::size_t length)
+std::string response_with_length(const std::string& text, std::size_t length, const std::string& fields = {})
 {
-    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n" + text;
+    return "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: " + std::to_string(length) + "\r\n\r\n" + text;
 }
 
 std::string format_chunk(const std::string& text)
@@ -196,8 +196,9 @@
 void fake_target::serve_connection(Poco::Net::StreamSocket socket)
 {
     std::string buffer;
+    std::string previous;
     try {
-        while (this->serve_request(socket, buffer)) {}
+        while (this->serve_request(socket, buffer, previous)) {}
         socket.close();
         ++this->closed;
     }
@@ -206,7 +207,7 @@
     }
 }
 
-bool fake_target::serve_request(Poco::Net::StreamSocket& socket, std::string& buffer)
+bool fake_target::serve_request(Poco::Net::StreamSocket& socket, std::string& buffer, std::string& previous)
 {
     std::size_t end{};
     while ((end = buffer.find(head_end)) == std::string::npos) {
@@ -253,9 +254,15 @@
         const std::lock_guard lock{this->mutex};
         ++this->runs_by_id[id];
     }
-    return this->respond(socket, selected,
-                         "id=" + id + " bytes=" + std::to_string(body.size()) +
-                             " digest=" + to_hex(digest(body)));
+    const auto text =
+        "id=" + id + " bytes=" + std::to_string(body.size()) + " digest=" + to_hex(digest(body));
+    if (selected == behaviour::repeat_previous_response) {
+        const auto attempt = "x-kumquatdrift-attempt: " + field_in(head, "x-kumquatdrift-attempt") + "\r\n";
+        const auto response = response_with_length(text, text.size(), attempt);
+        send(socket, std::exchange(previous, response) + response);
+        return true;
+    }
+    return this->respond(socket, selected, text);
 }
 
 bool fake_target::respond(Poco::Net::StreamSocket& socket, behaviour selected, const std::string& text)
--- a/tests/proxy/fake_target.hpp
+++ b/tests/proxy/fake_target.hpp
@@ -36,6 +36,7 @@
     reject_before_body,
     reject_blocked_body,
     hint_before_body,
+    repeat_previous_response,
 };
 
 /*! @brief HTTP target on a free loopback port. Fails as configured and counts the runs of each request id. */
@@ -80,7 +81,7 @@
 private:
     void accept_loop();
     void serve_connection(Poco::Net::StreamSocket socket);
-    bool serve_request(Poco::Net::StreamSocket& socket, std::string& buffer);
+    bool serve_request(Poco::Net::StreamSocket& socket, std::string& buffer, std::string& previous);
     bool respond(Poco::Net::StreamSocket& socket, behaviour selected, const std::string& text);
 
     Poco::Net::ServerSocket listener;
--- a/tools/target_server/handler.cpp
+++ b/tools/target_server/handler.cpp
@@ -109,6 +109,10 @@
     void handleRequest(HTTPServerRequest& request, HTTPServerResponse& response) override
     {
         this->target.start_request();
+        const std::string attempt{kumquatdrift::attempt_header};
+        if (request.has(attempt)) {
+            response.set(attempt, request.get(attempt));
+        }
         try {
             this->serve(request, response);
         }
