Test that a target which left stays unused over restarts of nodes

Operators' list: after a restart of a process, a server that had left was in use again. Not found in kumquatdriftd: after the leave, the target's node and the caller's node are killed and started again, no node ever lists the target as ready, and 30 of 30 requests get 200. Passes on the code as it was; there is no failing run.

--- a/tests/process/mesh_test.py
+++ b/tests/process/mesh_test.py
@@ -335,6 +335,33 @@
         self.assertEqual(total, 30)
         slow_call.join()
 
+    # Guards against a target that has left and is used again after its node, and the node of a caller, restart.
+    def test_target_that_left_stays_unused_after_restarts(self):
+        self.start()
+        gone = self.nodes[1]
+        self.mesh.processes[f"target-t-{gone}"].send_signal(signal.SIGTERM)
+        self.mesh.processes[f"target-t-{gone}"].wait(10)
+        self.wait_until(lambda: (self.target_states() or {}).get("ready", 0) == 2, "every node knows of the leave")
+        for node in (gone, self.nodes[0]):
+            self.mesh.processes[node].kill()
+        for node in (gone, self.nodes[0]):
+            self.mesh.start_node(self.fleet[node])
+        highest = 0
+
+        def known_to_all():
+            nonlocal highest
+            states = [member["targets"] for node in self.nodes for member in self.mesh.status(node)["members"]
+                      if member["node"] == gone]
+            highest = max([highest, *(sum(target["state"] == "ready" for target in targets) for targets in states)])
+            return len(states) == 4 and self.target_states() == {"ready": 2}
+
+        self.wait_until(known_to_all, "every node knows the two other targets")
+        self.wait_until(lambda: self.mesh.call(self.nodes[0], "GET", "/read")[0] == 200, "the caller's node responds")
+        statuses = [self.mesh.call(self.nodes[0], "GET", "/read")[0] for _ in range(30)]
+        self.assertEqual(statuses, [200] * 30)
+        self.assertEqual(highest, 0)
+        self.assertEqual(self.target_states(), {"ready": 2})
+
 
 class Daemon(unittest.TestCase):
     # Guards against a daemon that accepts invalid settings or reports only the first error.
