Replace a silent link, and wait on the old one for responses

What callers saw: 502 for requests that were at work, or that had never left the entry node, when nothing had come on the link to their target's node for 1.5 s.

Cause: the link was the unit of failure. Silence for 1.5 s closed it with all requests on it, although a line that is full of uploads delays pongs for longer than that. The requests were lost for their callers, ran nevertheless (LOST when the entry node was stopping), and their bytes were sent for nothing. A suspension did the same: responses that had arrived meanwhile were thrown away unread.

Change: after 1.5 s another link is opened, and the old one only waits. Requests that were not sent entirely are dropped from its queue and go to other nodes; idempotent ones that were sent are cancelled and tried elsewhere, as before; the others wait for their responses, until nothing has come for 6 s, their deadline passes or the connection fails. After a suspension links are replaced too, without giving up what was sent.

--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -39,10 +39,7 @@
         frame.mutable_hello()->set_accepts_parts(true);
         frame.mutable_hello()->set_accepts_offers(true);
     }
-    const auto is_request_dropped =
-        frame.has_cancel() && drop_frame(this->queue, hop::Frame::kRun, frame.cancel().id());
-    this->runs_dropped += is_request_dropped ? 1 : 0;
-    if (!is_request_dropped) {
+    if (!frame.has_cancel() || !this->drop_request(frame.cancel().id())) {
         count_frame(this->metrics.sent, frame.kind_case(), push_frame(this->queue, frame));
     }
     if (!this->flush_scheduled) {
@@ -51,6 +48,13 @@
     }
 }
 
+bool peer_link::drop_request(std::uint64_t id)
+{
+    const auto dropped = drop_frame(this->queue, hop::Frame::kRun, id);
+    this->runs_dropped += dropped ? 1 : 0;
+    return dropped;
+}
+
 void peer_link::flush()
 {
     this->flush_scheduled = false;
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -19,6 +19,14 @@
 
 namespace kumquatdrift {
 
+/*! @brief A request sent on a link and not completed. */
+struct outstanding_request {
+    /*! @brief Receives the result. */
+    attempt_callback done{};
+    /*! @brief True if the request is idempotent and may be executed more than once. */
+    bool idempotent{};
+};
+
 /**
  * @brief A connection between two nodes that carries frames in both directions.
  *
@@ -75,6 +83,13 @@
     /*! @brief Resets the link, so that unsent frames are dropped. No callback is called afterwards. */
     void close();
 
+    /**
+     * @brief Drops a request that has not been sent entirely, so that it never arrives.
+     * @param id Id of the request.
+     * @return False if the request has been sent, or is unknown.
+     */
+    bool drop_request(std::uint64_t id);
+
     /*! @brief Checks whether frames can be sent. */
     [[nodiscard]] bool is_open() const noexcept
     {
@@ -122,8 +137,12 @@
     std::unordered_map<std::uint64_t, target_request_ptr> offered_requests{};
     /*! @brief True if the other node accepts offers of requests. */
     bool receiver_accepts_offers{};
-    /*! @brief Callbacks of the requests sent on this link and not completed, by id. */
-    std::unordered_map<std::uint64_t, attempt_callback> outbound_requests{};
+    /*! @brief Requests sent on this link and not completed, by id. */
+    std::unordered_map<std::uint64_t, outstanding_request> outbound_requests{};
+    /*! @brief True once another link replaces this one, which then only waits for responses. */
+    bool replaced{};
+    /*! @brief Start of the silence for which the link was replaced. */
+    timestamp silent_since{};
 
 private:
     void on_data(std::string& buffer);
--- a/src/gateway/peer_requests.cpp
+++ b/src/gateway/peer_requests.cpp
@@ -156,13 +156,17 @@
     if (found == link->outbound_requests.end()) {
         return;
     }
-    const auto done = std::move(found->second);
+    const auto done = std::move(found->second.done);
     link->outbound_requests.erase(found);
     link->offered_requests.erase(message.id());
+    auto result = decode(message);
+    if (link->replaced) {
+        done(std::move(result));
+        return;
+    }
     if (auto* known = this->table.find(link->node)) {
         known->in_flight -= std::min(known->in_flight, 1U);
     }
-    auto result = decode(message);
     if (message.has_load()) {
         this->table.update_load(
             link->node, result.load,
@@ -181,7 +185,7 @@
     }
     const auto& link = found->second.link;
     const auto id = ++this->last_id;
-    link->outbound_requests.emplace(id, std::move(done));
+    link->outbound_requests.emplace(id, outstanding_request{std::move(done), request->idempotent});
     if (link->receiver_accepts_offers && request->body.size() > max_unasked_body_bytes) {
         hop::Frame frame{};
         const auto time_left =
@@ -216,20 +220,27 @@
 
 void peers::cancel(std::string_view node, std::uint64_t id)
 {
+    const auto has_request = [id](const auto& link) { return link && link->outbound_requests.contains(id); };
     const auto found = this->outbound_links.find(node);
-    if (found == this->outbound_links.end() || !found->second.link ||
-        found->second.link->outbound_requests.erase(id) == 0) {
-        return;
+    auto link = found != this->outbound_links.end() ? found->second.link : nullptr;
+    if (!has_request(link)) {
+        const auto replaced =
+            std::find_if(this->replaced_links.begin(), this->replaced_links.end(), has_request);
+        if (replaced == this->replaced_links.end()) {
+            return;
+        }
+        link = *replaced;
     }
-    const auto was_offered = found->second.link->offered_requests.erase(id) != 0;
-    const auto dropped_before = found->second.link->runs_dropped;
+    link->outbound_requests.erase(id);
+    const auto was_offered = link->offered_requests.erase(id) != 0;
+    const auto dropped_before = link->runs_dropped;
     hop::Frame frame{};
     frame.mutable_cancel()->set_id(id);
-    found->second.link->send(frame);
-    if (auto* known = this->table.find(node)) {
+    link->send(frame);
+    if (auto* known = this->table.find(node); known != nullptr && !link->replaced) {
         known->in_flight -= std::min(known->in_flight, 1U);
         // The other node has counted an offered request when its offer arrived.
-        known->requests_sent -= was_offered ? 0 : found->second.link->runs_dropped - dropped_before;
+        known->requests_sent -= was_offered ? 0 : link->runs_dropped - dropped_before;
     }
 }
 
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -28,8 +28,6 @@
 /*! @brief Time without a reply to a ping after which no new request is sent; exceeds the delay of a busy
  *         node. */
 constexpr microseconds unreachable_timeout{700'000};
-/*! @brief Time without a reply to a ping after which a link is closed. */
-constexpr microseconds link_timeout{1'500'000};
 /*! @brief Time after which another node is asked for all known nodes if the first one hasn't replied. */
 constexpr microseconds members_query_timeout{500'000};
 /*! @brief Time after a reply for which no node is asked for all known nodes again; changes arrive sooner from
@@ -163,6 +161,9 @@
         (frame.has_run() && !frame.run().offered())) {
         observe_line_delay(this->grants, queueing_delay, boot_now());
     }
+    if (link->replaced && !frame.has_answer() && !frame.has_configuration()) {
+        return;
+    }
     switch (frame.kind_case()) {
     case hop::Frame::kHello:
         this->on_hello(link, frame.hello());
@@ -288,42 +289,6 @@
     }
 }
 
-void peers::on_closed(const peer_link::pointer& link, const std::string& cause)
-{
-    for (const auto& [peer_id, local_id] : std::exchange(link->inbound_requests, {})) {
-        this->shared.host.cancel(local_id);
-    }
-    this->inbound_links.erase(link);
-    forget_link(this->grants, link.get());
-    if (link->outbound) {
-        this->set_reachable(link->node, false, cause);
-        if (const auto found = this->outbound_links.find(link->node);
-            found != this->outbound_links.end() && found->second.link == link) {
-            // `next_dial` stays, so the next attempt starts a dial interval after this one at the earliest.
-            found->second.link = nullptr;
-        }
-        if (auto* known = this->table.find(link->node)) {
-            known->in_flight -=
-                std::min(known->in_flight, static_cast<std::uint32_t>(link->outbound_requests.size()));
-            known->on_link_closed();
-        }
-    }
-    for (auto& [id, done] : std::exchange(link->outbound_requests, {})) {
-        attempt_result result{};
-        const auto offered = link->offered_requests.find(id);
-        const auto was_sent = offered == link->offered_requests.end() || offered->second == nullptr;
-        result.outcome = was_sent ? attempt_outcome::lost : attempt_outcome::unreachable;
-        result.cause = "link to " + link->node + ": " + cause;
-        done(std::move(result));
-    }
-}
-
-void peers::close_link(const peer_link::pointer& link, const std::string& cause)
-{
-    link->close();
-    this->on_closed(link, cause);
-}
-
 void peers::broadcast_state()
 {
     hop::Frame frame{};
@@ -405,6 +370,7 @@
             this->dial(node, peer);
         }
     }
+    this->check_replaced_links(now);
     this->decide_on_offers();
     if (is_behind(this->configs.state())) {
         this->configs.on_tick(this->self().data_centre, now);
@@ -419,9 +385,10 @@
 {
     const auto link = peer.link;
     if (link->ping_sent_at != timestamp{}) {
-        const auto silence = now - std::max(link->ping_sent_at, link->last_received_at);
+        const auto silent_since = std::max(link->ping_sent_at, link->last_received_at);
+        const auto silence = now - silent_since;
         if (silence > link_timeout && !(this->keeps_silent_links && !link->outbound_requests.empty())) {
-            this->close_link(link, "no answer");
+            this->replace_link(link, silent_since, "no answer");
             return;
         }
         if (silence > unreachable_timeout) {
@@ -471,7 +438,7 @@
         }
     }
     for (const auto& link : links) {
-        this->close_link(link, "suspended");
+        this->replace_link(link, boot_now(), "suspended");
     }
 }
 
--- a/src/gateway/peers.hpp
+++ b/src/gateway/peers.hpp
@@ -144,10 +144,16 @@
         return this->table;
     }
 
-    /*! @brief Closes outbound links, which may have failed unnoticed during a suspension of this process. */
+    /*! @brief Replaces outbound links, which may have failed unnoticed during a suspension of this process.
+     */
     void on_suspension();
 
 private:
+    /*! @brief Time without a reply to a ping after which a link is replaced. */
+    static constexpr microseconds link_timeout{1'500'000};
+    /*! @brief Time without any frame after which a link that waits for responses is closed. */
+    static constexpr microseconds replaced_link_timeout{6'000'000};
+
     /*! @brief State of the link that this node opens to another one. */
     struct outbound_link {
         peer_link::pointer link{};
@@ -177,6 +183,9 @@
     void share_delays(peer_link& link, std::uint64_t started_ms);
     void on_closed(const peer_link::pointer& link, const std::string& cause);
     void close_link(const peer_link::pointer& link, const std::string& cause);
+    void detach_link(const peer_link::pointer& link, const std::string& cause);
+    void replace_link(const peer_link::pointer& link, timestamp silent_since, const std::string& cause);
+    void check_replaced_links(timestamp now);
     void on_tick(timestamp now);
     void check_link(const std::string& node, outbound_link& peer, timestamp now);
     void on_peer_version(const std::string& node, std::uint32_t version);
@@ -192,6 +201,8 @@
     config_exchange configs;
     body_grants grants{};
     std::map<std::string, outbound_link, std::less<>> outbound_links{};
+    /*! @brief Outbound links that others have replaced, and that wait for responses. */
+    std::unordered_set<peer_link::pointer> replaced_links{};
     std::unordered_set<peer_link::pointer> inbound_links{};
     std::uint64_t last_id{};
     timestamp next_advisories{};
