Give the target's node more time in the test of a queue that times out

One failed, once: proxy.proxy_failure.request_that_times_out_in_queue_is_not_run, 504 may_have_run instead of 503 not_run.

Cause: the fixture. A request with a deadline of 100 ms waits in the queue of the target's node, which gets 1/20 less time, 5 ms, and rejects it then. On a loaded machine the rejection takes longer than that, and the entry node rightly says 504 at its own deadline.

Change: a deadline of 400 ms, for which the node gets 20 ms less, and the test waits until the first request is at the target instead of 40 ms. The test of a cancelled request waits in the same way.

--- a/tests/proxy/failures.cpp
+++ b/tests/proxy/failures.cpp
@@ -70,6 +70,16 @@
         this->add_target(this->peer, "t", this->target.address(), slots);
         this->publish();
     }
+
+    // Waits until the target has received as many requests.
+    void wait_for_requests(std::size_t count)
+    {
+        const auto give_up = steady_now() + milliseconds{5'000};
+        while (this->target.heads().size() < count && steady_now() < give_up) {
+            std::this_thread::sleep_for(milliseconds{1});
+        }
+        ASSERT_GE(this->target.heads().size(), count);
+    }
 };
 
 // Guards against the verdict may_have_run for a request of which no byte was sent to the target.
@@ -117,12 +127,14 @@
 TEST_F(proxy_failure, request_that_times_out_in_queue_is_not_run)
 {
     this->route.retry.max_attempts = 1;
-    this->route.deadline = milliseconds{300};
+    this->route.deadline = milliseconds{3'000};
     this->start_with_target(1);
-    this->target.behave(behaviour::respond_slowly, milliseconds{250});
+    this->target.behave(behaviour::respond_slowly, milliseconds{1'000});
     std::thread first{[this] { EXPECT_EQ(this->call("first").status, 200U); }};
-    std::this_thread::sleep_for(milliseconds{40});
-    this->route.deadline = milliseconds{100};
+    this->wait_for_requests(1);
+    // The target's node has to respond before the deadline of the entry node, 1/20 of the time but at most 20
+    // ms.
+    this->route.deadline = milliseconds{400};
     this->publish();
     const auto response = this->call("second");
     EXPECT_EQ(response.status, 503U);
@@ -266,7 +278,7 @@
     {
         raw_client client{this->entry.proxy->ports().caller};
         client.send(request("gone"));
-        std::this_thread::sleep_for(milliseconds{100});
+        this->wait_for_requests(1);
         client.close();
     }
     std::this_thread::sleep_for(milliseconds{100});
