Let a stopping node send no attempt that outlasts it

What callers saw: 502 for a request that had not run, at the end of the time that its entry node has to stop.

Cause: after SIGTERM, the entry node still sent requests with all the time that their callers had left. A target's node queued them beyond the end of the entry node, which aborted them with 502, since they might run; some did, for nobody.

Change: attempts that are sent after the signal have a deadline of 0.15 s before the abort. The target's node refuses what it cannot start by then, and the caller gets 503 with Retry-After while another node can still serve it.

Ruled out: a later abort (the platform kills the process at the end of the grace time, counted from the first signal); more time because of the second signal (the kill of the first one still comes).

Left: attempts sent before the signal keep their deadlines, and a request whose run takes longer than expected is still aborted.

--- a/src/gateway/body_grants.hpp
+++ b/src/gateway/body_grants.hpp
@@ -22,8 +22,8 @@
 constexpr std::size_t max_window_bytes = 4'194'304;
 /*! @brief Interval after which the number is adjusted. */
 constexpr microseconds window_interval{100'000};
-/*! @brief Queueing delay of the fastest frame of an interval above which the line to this node is congested:
- * frames of other nodes, whose own lines may be, don't count. */
+/*! @brief Queueing delay of the fastest frame of an interval above which the line to this node is congested.
+ * Slower frames may be late because of the lines of their senders. */
 constexpr microseconds max_line_delay{50'000};
 /*! @brief Time after which a granted body no longer counts as in transit, so that slow senders don't stop the
  * others. */
--- a/src/gateway/entry_router.cpp
+++ b/src/gateway/entry_router.cpp
@@ -26,6 +26,9 @@
 constexpr microseconds typical_outage{300'000};
 /*! @brief Time before the deadline below which a request is not retried. */
 constexpr microseconds min_attempt_time{20'000};
+/*! @brief Time before the end of this process by which a target's node has to respond. It covers the interval
+ *         at which that node checks its queue, and the way back. */
+constexpr microseconds response_margin{150'000};
 
 std::string retry_after_header(milliseconds time)
 {
@@ -178,8 +181,19 @@
     return found;
 }
 
+void entry_router::limit_to_process_end(pending_request& pending) const
+{
+    const auto latest_response = this->process_end - response_margin;
+    if (pending.request->deadline > latest_response) {
+        auto limited = std::make_shared<target_request>(*pending.request);
+        limited->deadline = latest_response;
+        pending.request = std::move(limited);
+    }
+}
+
 void entry_router::place(const pending_request_ptr& pending)
 {
+    this->limit_to_process_end(*pending);
     const auto now = boot_now();
     const auto& request = *pending->request;
     const auto choices = this->candidates(*pending, now);
--- a/src/gateway/entry_router.hpp
+++ b/src/gateway/entry_router.hpp
@@ -89,6 +89,16 @@
         this->stopping = true;
     }
 
+    /**
+     * @brief Limits the time of attempts that are sent from now on, so that a target's node doesn't start a
+     *        request whose response would come after the end of this process.
+     * @param end Time at which all requests in flight are aborted.
+     */
+    void set_end(timestamp end) noexcept
+    {
+        this->process_end = end;
+    }
+
     /*! @brief Cancels and responds to all requests in flight, before the process exits. */
     void abort_in_flight();
 
@@ -130,6 +140,7 @@
 
     void reject_unrouted(const http_exchange_ptr& exchange, unsigned status, const std::string& cause);
     [[nodiscard]] target_request_ptr make_request(http_exchange& exchange, const mesh_route& route);
+    void limit_to_process_end(pending_request& pending) const;
     void place(const pending_request_ptr& pending);
     void send(const pending_request_ptr& pending, const placement_candidate& candidate);
     [[nodiscard]] std::vector<placement_candidate> candidates(const pending_request& pending, timestamp now);
@@ -161,6 +172,7 @@
     /*! @brief Instance of the target on this host to which `local_failure_rate` applies. */
     std::string local_instance{};
     latency_histogram& request_seconds;
+    timestamp process_end{timestamp::max()};
     bool stopping{};
     bool routes_confirmed{};
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -318,6 +318,7 @@
                         this->local_target.in_flight());
         this->caller_server.start_draining();
         this->peer_nodes.keep_silent_links();
+        this->router.set_end(*this->stopping_since + this->settings.grace - margin_before_kill);
         this->broadcast_state();
         this->loop.call_at(*this->stopping_since + serve_peers_after_stop,
                            [this] { this->peer_nodes.reject_requests(); });
