--- a/tests/process/gateway_stop_test.py
+++ b/tests/process/gateway_stop_test.py
@@ -1,5 +1,7 @@
 """Tests of gateway processes on loopback that are stopped while requests wait for a target."""
 
+import contextlib
+import http.client
 import pathlib
 import signal
 import sys
@@ -32,9 +34,13 @@
         release = threading.Event()
         self.addCleanup(release.set)
         self.targets[2].on_request = lambda *_: release.wait(10) and None
+
+        def send_request():
+            with contextlib.suppress(OSError, http.client.HTTPException):  # The node is killed at the end.
+                self.nodes[2].call("POST", "/deposit/x", deadline_ms=LONG_DEADLINE_MS, timeout=20)
+
         for _ in range(self.targets[2].slots):
-            threading.Thread(target=self.nodes[2].call, args=("POST", "/deposit/x"), daemon=True,
-                             kwargs={"deadline_ms": LONG_DEADLINE_MS, "timeout": 20}).start()
+            threading.Thread(target=send_request, daemon=True).start()
         wait_until(lambda: self.targets[2].in_flight == self.targets[2].slots, "the target is busy")
 
     # Guards against a 502 for a request that waits for a target until its entry node ends (LOST).
