Set the responses of the soak's targets before they start to serve

Cause: the fixture. SoakTarget set its own responses after its base class had begun to serve and to report itself ready, so that a request in between got the default response.

Ruled out: a response of another request; the body is that of no attempt.

Change: the responses are set first. The check is the same.

--- a/tests/process/gateway_standins.py
+++ b/tests/process/gateway_standins.py
@@ -169,6 +169,8 @@
     `on_request(handler, attempt)` runs before the default response; it returns True if it has handled the request.
     """
 
+    on_request = None
+
     def __init__(self, ip, reports_address, service, slots=4):
         self.instance = "i-%s-%d" % (ip, time.monotonic_ns())
         self.reports_address = reports_address
@@ -180,7 +182,6 @@
         self.max_concurrency = 0
         self.in_flight = 0
         self.lock = threading.Lock()
-        self.on_request = None
         self.state = "ready"
         self.notice = []  # Further header fields of each response, as (name, value).
         self.is_running = True
--- a/tests/process/soak_test.py
+++ b/tests/process/soak_test.py
@@ -35,8 +35,8 @@
         self.spoiled = set()
         self.limits = []  # (time, limit or None)
         self.told = {}  # Name of the entry node -> time of the first answer with Server-Leaving.
-        super().__init__(node.ip, node.reports, node.settings["service"], slots=8)
         self.on_request = self.answer
+        super().__init__(node.ip, node.reports, node.settings["service"], slots=8)
 
     def answer(self, handler, attempt):
         time.sleep(self.rng.uniform(0.002, 0.03))
