Send the request after the signal has been handled in the test of a stopping node

Cause: the fixture. The test sent its request at once after SIGTERM, and the node read it before it handled the signal: "stopping open_requests=1" in its log.

Change: the test waits for the line "stopping" first.

--- a/tests/process/gateway_stop_test.py
+++ b/tests/process/gateway_stop_test.py
@@ -48,6 +48,7 @@
         self.occupy_target()
         self.nodes[0].signal(signal.SIGTERM)
         stopped = time.monotonic()
+        wait_until(lambda: "event=stopping" in self.nodes[0].log(), "the node has handled the signal")
         status, _, fields = self.nodes[0].call("POST", "/deposit/x", "waits", b"x", deadline_ms=LONG_DEADLINE_MS)
         self.assertEqual(status, 503, self.nodes[0].log())
         self.assertIsNotNone(fields["Retry-After"])
