--- a/tests/process/soak_test.py
+++ b/tests/process/soak_test.py
@@ -80,7 +80,7 @@
         # With an even seed one node is never disturbed: limits are checked over longer times for its callers.
         self.spared = self.rng.choice(self.nodes) if seed % 2 == 0 else None
         self.disturbed = collections.defaultdict(list)  # Name of a node -> (time, event).
-        self.results = []  # (node, attempt, sent, ended, status, body)
+        self.results = []  # (node, attempt, sent, ended, status, body, method)
         self.stop = threading.Event()
         self.version = 5
         self.store.publish(self.version, ROUTES, SERVICES)
