--- a/tests/mesh/route_index.cpp
+++ b/tests/mesh/route_index.cpp
@@ -70,7 +70,7 @@
     for (int round = 0; round < 5; ++round) {
         std::map<std::string, int> selections{};
         for (int request = 0; request < 100; ++request) {
-            ++selections[selector.select(route)];
+            ++selections[selector.select(*route)];
         }
         EXPECT_EQ(selections["first"], 90);
         EXPECT_EQ(selections["second"], 10);
@@ -80,11 +80,11 @@
 TEST(weighted_services, changed_weights_restart_the_sequence)
 {
     weighted_service_selector selector{};
-    (void)selector.select(route_of("desk.example", "/a/", {{"first", 1.0}, {"second", 1.0}}));
+    (void)selector.select(*route_of("desk.example", "/a/", {{"first", 1.0}, {"second", 1.0}}));
     const auto route = route_of("desk.example", "/a/", {{"first", 0.2}, {"third", 0.8}});
     std::map<std::string, int> selections{};
     for (int request = 0; request < 10; ++request) {
-        ++selections[selector.select(route)];
+        ++selections[selector.select(*route)];
     }
     EXPECT_EQ(selections["first"], 2);
     EXPECT_EQ(selections["third"], 8);
