--- a/scripts/lib/bench.py
+++ b/scripts/lib/bench.py
@@ -344,6 +344,12 @@
             table.add(f"membership/{name}", seconds * 1e6, "us")
 
 
+def measure_costs(table, min_time):
+    """Runs the microbenchmarks of the duties of a gateway node."""
+    for name, seconds in run_microbenchmark("bench_gateway_costs", min_time).items():
+        table.add(f"costs/{name}", seconds * 1e6, "us")
+
+
 def measure_examples(table):
     """Measures control bytes, convergence and the detection of a killed node with the settings of the two examples."""
     for example in ("lisbon", "nordeste"):
@@ -373,7 +379,7 @@
     return all(member["status"] != "alive" for member in mesh.status(node)["members"] if member["node"] == killed)
 
 
-GROUPS = ("parts", "latency", "overload", "claims", "storm", "slopes", "examples", "fleets", "gateway")
+GROUPS = ("parts", "latency", "overload", "claims", "storm", "slopes", "examples", "fleets", "gateway", "costs")
 
 
 def main():
@@ -397,6 +403,7 @@
         "gateway": lambda: measure_gateway_fleets(
             table, [(6, 200)] if quick else [(30, 200), (30, 400), (30, 1612), (100, 1612)], BINARY,
             options.gateway_baseline),
+        "costs": lambda: measure_costs(table, 0.05 if quick else 0.3),
     }
     for name in options.only or GROUPS:
         steps[name]()
