Keep nested calls away from targets that shed requests

Cause: a target that sheds part of its requests while its liveness check is good is known to an entry node by that node's own requests only, one in two seconds for each target on the large site, and its failure rate does not count while most targets have it.

Change: the target's node measures the share of shed requests of all nodes and states it with the load, 3 bytes while a target sheds. A nested call counts it as 2 objectives of response time. Other requests don't: they go to the next target, or their callers return.

--- a/include/kumquatdrift/mesh/members.hpp
+++ b/include/kumquatdrift/mesh/members.hpp
@@ -85,6 +85,8 @@
     microseconds limit_wait{};
     /*! @brief True if the target has announced that it leaves. */
     bool left{};
+    /*! @brief Share of the requests of all nodes that the target sheds, from 0 to 1. */
+    double shed_rate{};
 };
 
 /*! @brief What a node remembers of another node's target, so that a restart of that node doesn't lose it. */
--- a/include/kumquatdrift/traffic/placement.hpp
+++ b/include/kumquatdrift/traffic/placement.hpp
@@ -67,6 +67,8 @@
     std::size_t body_bytes{};
     /*! @brief True if a target has refused the request because its queue was full. */
     bool was_refused{};
+    /*! @brief True for a call made on behalf of a request that already runs. */
+    bool nested{};
 };
 
 /*! @brief Result of choosing a target for a request. */
@@ -88,7 +90,7 @@
  *
  * Takes the load of a target from the last report of its node, and adds the requests that this node has sent
  * to it and that had not arrived there. A rate limit of the target counts as time in its queue. The delay of
- * a congested link is part of the response time.
+ * a congested link is part of the response time. A nested call avoids targets that shed requests.
  *
  * @param candidates Targets of the service that take requests and that the request was not sent to before.
  * @param times Times of the request.
--- a/src/gateway/hop_codec.cpp
+++ b/src/gateway/hop_codec.cpp
@@ -80,6 +80,7 @@
     message.set_limit_wait_us(microsecond_count(load.limit_wait));
     message.set_limit_unknown(!load.limit);
     message.set_left(load.left);
+    message.set_shed_permille(static_cast<std::uint32_t>(std::lround(load.shed_rate * per_mille)));
 }
 
 void encode(const target_memory& memory, hop::TargetMemory& message)
@@ -106,7 +107,8 @@
             slowness,
             message.limit_unknown() ? std::nullopt : std::optional{message.limit_per_1000_s() / limit_unit_s},
             microseconds{message.limit_wait_us()},
-            message.left()};
+            message.left(),
+            std::min(message.shed_permille() / per_mille, 1.0)};
 }
 
 void encode(const member_record& record, hop::Member& message)
--- a/src/gateway/target_host.cpp
+++ b/src/gateway/target_host.cpp
@@ -91,6 +91,7 @@
         }
         ++this->incarnation;
         this->queue.reset_estimates();
+        this->shed_rate = {};
         this->log_limit("new_instance");
         this->client.close_idle();
     }
@@ -292,6 +293,9 @@
             this->on_notice(call.response, sent_at, sent_to);
         }
     }
+    if (result.outcome == attempt_outcome::answered || result.outcome == attempt_outcome::shed) {
+        this->shed_rate.observe(result.outcome == attempt_outcome::shed, now);
+    }
     if (result.outcome == attempt_outcome::answered) {
         result.service_time = now - sent_at;
         this->run_seconds.observe(std::chrono::duration<double>{now - sent_at}.count());
@@ -405,6 +409,7 @@
 target_load target_host::load() const noexcept
 {
     auto load = this->queue.load(boot_now());
+    load.shed_rate = this->shed_rate.rate_at(boot_now());
     load.left = this->current.state == report_state::draining || this->current.state == report_state::gone;
     return load;
 }
--- a/src/gateway/target_host.hpp
+++ b/src/gateway/target_host.hpp
@@ -14,6 +14,7 @@
 #include <kumquatdrift/mesh/members.hpp>
 #include <kumquatdrift/telemetry/event_log.hpp>
 #include <kumquatdrift/telemetry/metrics.hpp>
+#include <kumquatdrift/traffic/failure_rate_estimator.hpp>
 #include <kumquatdrift/traffic/quarantine.hpp>
 #include <kumquatdrift/traffic/run_queue.hpp>
 
@@ -165,6 +166,8 @@
     std::function<void()> on_change;
     http_client client;
     run_queue queue{};
+    /*! @brief Share of the requests that the target sheds. */
+    failure_rate_estimator shed_rate{};
     target_report current{};
     socket_address default_address{};
     std::optional<timestamp> last_report_at{};
--- a/src/traffic/placement.cpp
+++ b/src/traffic/placement.cpp
@@ -23,6 +23,11 @@
  *         requests cannot be retried. */
 constexpr double failure_weight = 2.0;
 
+/*! @brief Cost of a shed nested call as a multiple of the objective: it may fail the request on whose behalf
+ * it is made, with all the work done for it. Other requests are sent to the next target, or their callers
+ * return, so they rather use the slots that a shedding target has left than wait for the others. */
+constexpr double nested_shed_weight = 2.0;
+
 /*! @brief Multiple of the mean failure rate of all targets above which a target is worse than the others. */
 constexpr double normal_failures_factor = 1.5;
 
@@ -106,6 +111,7 @@
     const auto deadline_left = seconds(times.deadline_left);
     std::uniform_real_distribution<double> noise{1.0, 1.0 + jitter};
     const auto normal_rate = normal_failure_rate(candidates);
+    const auto shed_weight = times.nested ? nested_shed_weight : 0.0;
     const auto any_not_ejected =
         std::any_of(candidates.begin(), candidates.end(),
                     [](const placement_candidate& candidate) { return !candidate.ejected; });
@@ -144,7 +150,8 @@
         const auto cost =
             (estimate.wait + estimate.service * (1.0 + utilisation_weight * utilisation)) * noise(rng) +
             std::max(estimate.link_delay, seconds(candidate.expected_link_delay)) + distance +
-            objective * failure_weight * std::max(0.0, candidate.failure_rate - normal_rate);
+            objective * (failure_weight * std::max(0.0, candidate.failure_rate - normal_rate) +
+                         shed_weight * candidate.load.shed_rate);
         if (cost < best_cost) {
             best_cost = cost;
             best.candidate = index;
--- a/tests/gateway/hop_codec.cpp
+++ b/tests/gateway/hop_codec.cpp
@@ -83,11 +83,13 @@
     result.outcome = attempt_outcome::answered;
     result.service_time = milliseconds{70};
     result.load.slowness = 2.5;
+    result.load.shed_rate = 0.45;
     hop::Answer message{};
     encode(result, message);
     const auto decoded = decode(message);
     EXPECT_EQ(decoded.service_time, milliseconds{70});
     EXPECT_DOUBLE_EQ(decoded.load.slowness, 2.5);
+    EXPECT_DOUBLE_EQ(decoded.load.shed_rate, 0.45);
     // A node that doesn't send the slowness counts as average.
     message.mutable_load()->clear_slowness_permille();
     EXPECT_DOUBLE_EQ(decode(message).load.slowness, 1.0);
--- a/tests/gateway/target_host.cpp
+++ b/tests/gateway/target_host.cpp
@@ -55,6 +55,20 @@
     EXPECT_LE(std::stoi(*find_field(fields, "X-Left")), 1'000);
 }
 
+TEST_F(target_host_with_target, share_of_shed_requests_is_in_the_load_until_the_next_incarnation)
+{
+    this->target.on_request = [](const http_exchange_ptr& exchange) {
+        exchange->respond({503, "", "X-Not-Run: 1\r\n", ""});
+    };
+    for (const auto* id : {"r1", "r2", "r3"}) {
+        this->run(make_target_request(id));
+        EXPECT_EQ(this->result_of(id).outcome, attempt_outcome::shed);
+    }
+    EXPECT_NEAR(this->host.load().shed_rate, 0.27, 0.03);
+    EXPECT_TRUE(this->host.on_report(make_report(report_state::ready, 1, 2'000, "i-2")));
+    EXPECT_EQ(this->host.load().shed_rate, 0.0);
+}
+
 TEST_F(target_host_with_target, deregistration_without_sequence_and_start_time_stops_requests)
 {
     auto deregistration = make_report(report_state::gone, 0, 0);
--- a/tests/support/simulated_fleet.hpp
+++ b/tests/support/simulated_fleet.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include <kumquatdrift/mesh/members.hpp>
+#include <kumquatdrift/traffic/failure_rate_estimator.hpp>
 #include <kumquatdrift/traffic/placement.hpp>
 #include <kumquatdrift/traffic/run_queue.hpp>
 
@@ -30,6 +31,8 @@
     microseconds objective{};
     /*! @brief Time from the first attempt after which the caller leaves. */
     microseconds deadline{};
+    /*! @brief True for calls on behalf of requests that run elsewhere: they go first, and don't return. */
+    bool nested{};
 };
 
 /*! @brief What callers of a kind got, counted by the time of their first attempt. */
@@ -104,6 +107,15 @@
         }
     }
 
+    /*! @brief Makes the first targets shed a share of their requests for a time. */
+    void shed(std::size_t count, double share, microseconds length)
+    {
+        for (std::size_t index = 0; index < count; ++index) {
+            this->targets[index].shed_share = share;
+            this->at(this->now + length, [this, index] { this->targets[index].shed_share = 0.0; });
+        }
+    }
+
     /*! @brief Sends calls at a rate for a time; returns what these callers got, by kind. Calls under way at
      *         the end go on in the next call of this function. */
     std::vector<caller_counts> offer(double rate, microseconds length)
@@ -139,6 +151,7 @@
     static constexpr microseconds ping_interval = milliseconds{300};
     static constexpr std::size_t data_centres = 3;
     static constexpr std::uint32_t max_full_targets = 2;
+    static constexpr std::uint32_t max_attempts = 2;
 
     struct request {
         std::size_t entry{};
@@ -150,15 +163,19 @@
         bool came_as_told{};
         std::vector<bool> tried{};
         std::uint32_t full_targets{};
+        std::uint32_t attempts{};
     };
     struct view {
         target_load load{};
         timestamp received_at{};
         std::uint32_t in_transit{};
+        failure_rate_estimator failures{};
     };
     struct simulated_target {
         run_queue queue{};
         double slowness{1.0};
+        double shed_share{};
+        failure_rate_estimator shed_rate{};
         std::map<std::uint64_t, request> requests{};
     };
     struct event {
@@ -204,7 +221,9 @@
 
     void learn(std::size_t entry, std::size_t target)
     {
-        this->views[entry][target].load = this->targets[target].queue.load(this->now);
+        auto& load = this->views[entry][target].load;
+        load = this->targets[target].queue.load(this->now);
+        load.shed_rate = this->targets[target].shed_rate.rate_at(this->now);
         this->views[entry][target].received_at = this->now;
     }
 
@@ -235,7 +254,7 @@
             drawn -= this->options.kinds[kind++].share;
         }
         const auto entry = std::uniform_int_distribution<std::size_t>{0, this->targets.size() - 1}(this->rng);
-        request call{entry, kind, period, this->now, this->now, 0, false, {}, 0};
+        request call{entry, kind, period, this->now, this->now, 0, false, {}, 0, 0};
         ++this->counts_of(call).calls;
         this->send(std::move(call));
     }
@@ -245,6 +264,7 @@
         call.sent = this->now;
         call.tried.assign(this->targets.size(), false);
         call.full_targets = 0;
+        call.attempts = 0;
         this->place(std::move(call));
     }
 
@@ -256,15 +276,21 @@
         for (std::size_t index = 0; index < this->targets.size(); ++index) {
             if (!placed.tried[index]) {
                 const auto& seen = this->views[placed.entry][index];
-                candidates.push_back({"", seen.load, seen.in_transit, index == placed.entry,
-                                      index % data_centres == placed.entry % data_centres});
+                candidates.push_back({"",
+                                      seen.load,
+                                      seen.in_transit,
+                                      index == placed.entry,
+                                      index % data_centres == placed.entry % data_centres,
+                                      false,
+                                      {},
+                                      seen.failures.rate_at(this->now)});
                 indices.push_back(index);
             }
         }
         const auto age = this->now - placed.first_sent;
         const auto chosen = place_request(candidates,
                                           {kind.objective, kind.objective - age, kind.deadline - age,
-                                           kind.service_time, 0, placed.full_targets > 0},
+                                           kind.service_time, 0, placed.full_targets > 0, kind.nested},
                                           {}, this->rng);
         if (!chosen.candidate) {
             this->refuse(std::move(placed), chosen.time_to_free_slot);
@@ -286,9 +312,10 @@
         const auto& kind = this->kind_of(arrived);
         auto& node = this->targets[index];
         node.requests.emplace(id, arrived);
-        const auto decision = node.queue.offer({id, kind.priority, false, arrived.first_sent + kind.objective,
-                                                arrived.first_sent + kind.deadline, 0, kind.service_time},
-                                               this->now);
+        const auto decision =
+            node.queue.offer({id, kind.priority, kind.nested, arrived.first_sent + kind.objective,
+                              arrived.first_sent + kind.deadline, 0, kind.service_time},
+                             this->now);
         if (decision == run_decision::run) {
             this->run(index, id);
         }
@@ -300,6 +327,10 @@
     void run(std::size_t index, std::uint64_t id)
     {
         auto& node = this->targets[index];
+        if (std::uniform_real_distribution<double>{}(this->rng) < node.shed_share) {
+            this->at(this->now + milliseconds{1}, [this, index, id] { this->on_shed(index, id); });
+            return;
+        }
         const auto mean = static_cast<double>(this->kind_of(node.requests.at(id)).service_time.count());
         const auto spread = this->options.spread;
         std::lognormal_distribution<double> factor{-spread * spread / 2, spread};
@@ -308,7 +339,9 @@
         this->at(this->now + length, [this, index, id] {
             auto& ended = this->targets[index];
             ended.queue.finish(id, true, this->now);
+            ended.shed_rate.observe(false, this->now);
             const auto served = ended.requests.extract(id).mapped();
+            this->views[served.entry][index].failures.observe(false, this->now);
             this->learn(served.entry, index);
             const auto age = this->now - served.first_sent;
             auto& counts = this->counts_of(served);
@@ -326,6 +359,23 @@
         }
     }
 
+    void on_shed(std::size_t index, std::uint64_t id)
+    {
+        auto& node = this->targets[index];
+        node.queue.finish(id, false, this->now);
+        node.shed_rate.observe(true, this->now);
+        auto shed = node.requests.extract(id).mapped();
+        this->views[shed.entry][index].failures.observe(true, this->now);
+        this->learn(shed.entry, index);
+        this->start_queued(index);
+        if (++shed.attempts < max_attempts) {
+            this->place(std::move(shed));
+        }
+        else {
+            this->refuse(std::move(shed), node.queue.time_to_free_slot(this->now));
+        }
+    }
+
     void on_refused(std::size_t index, std::uint64_t id)
     {
         auto refused = this->targets[index].requests.extract(id).mapped();
@@ -349,7 +399,8 @@
         const auto left = this->kind_of(refused).deadline - (this->now - refused.first_sent);
         const auto stated = draw_retry_after(time_to_free_slot, this->rng);
         const auto delay = impatient ? microseconds{1'000} : std::min<microseconds>(stated, left / 3);
-        if (refused.returns++ == this->options.max_returns || delay >= left) {
+        if (this->kind_of(refused).nested || refused.returns++ == this->options.max_returns ||
+            delay >= left) {
             ++counts.refused;
             return;
         }
