--- a/src/gateway/target_host.cpp
+++ b/src/gateway/target_host.cpp
@@ -1,6 +1,7 @@
 #include "target_host.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include <kumquatdrift/core/boot_clock.hpp>
@@ -46,6 +47,8 @@
       limit_gauge{common.metrics.gauge_of(
           "gateway_target_limit",
           "Requests per second that the target accepts, rounded; 0 if it names no limit")},
+      shed_gauge{common.metrics.gauge_of("gateway_target_shed_permille",
+                                         "Share of the requests that the target sheds, in thousandths")},
       requests_sent{
           common.metrics.counter_of("gateway_target_requests_total", "Requests sent to the target")},
       run_seconds{
@@ -295,6 +298,7 @@
     }
     if (result.outcome == attempt_outcome::answered || result.outcome == attempt_outcome::shed) {
         this->shed_rate.observe(result.outcome == attempt_outcome::shed, now);
+        this->shed_gauge.set(std::lround(this->shed_rate.rate_at(now) * 1'000.0));
     }
     if (result.outcome == attempt_outcome::answered) {
         result.service_time = now - sent_at;
--- a/src/gateway/target_host.hpp
+++ b/src/gateway/target_host.hpp
@@ -184,6 +184,7 @@
     timestamp limit_logged_at{};
     std::uint64_t last_id{};
     gauge& limit_gauge;
+    gauge& shed_gauge;
     counter& requests_sent;
     latency_histogram& run_seconds;
     latency_histogram& wait_seconds;
