--- a/src/mesh/route_index.cpp
+++ b/src/mesh/route_index.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cctype>
+#include <functional>
 #include <utility>
 
 namespace kumquatdrift {
--- a/tests/platform/config_reuse.cpp
+++ b/tests/platform/config_reuse.cpp
@@ -129,6 +129,17 @@
     EXPECT_FALSE(decode_config("x" + document, this->known.get()));
 }
 
+// Guards against texts of routes that are taken for those of other routes, or of none.
+TEST_F(configuration_with_known_routes, document_with_two_lists_of_routes_for_a_host_is_refused)
+{
+    const auto config =
+        decode_config(R"({"version":"0000000c","services":[)" + std::string{both_services} +
+                      R"(],"virtual_hosts":[{"paths":[)" + make_route(1, "s1") + ',' + make_route(2, "s1") +
+                      R"(],"host":"h","paths":[)" + make_route(3, "s1") + "]}]}");
+    ASSERT_FALSE(config);
+    EXPECT_NE(config.last_reason().find("occurs twice"), std::string::npos) << config.last_reason();
+}
+
 /*! @brief Documents with changes that a seed selects. */
 class changed_document : public testing::TestWithParam<std::uint64_t> {
 protected:
