--- a/tests/support/simulated_fleet.hpp
+++ b/tests/support/simulated_fleet.hpp
@@ -2,7 +2,6 @@
 #define KUMQUATDRIFT_TESTS_SUPPORT_SIMULATED_FLEET_HPP
 
 #include <algorithm>
-#include <cmath>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
--- a/tests/traffic/overload_recovery.cpp
+++ b/tests/traffic/overload_recovery.cpp
@@ -52,6 +52,17 @@
     return in_time / calls;
 }
 
+double refused_again_share(const std::vector<caller_counts>& kinds)
+{
+    double returns{};
+    double refused{};
+    for (const auto& kind : kinds) {
+        returns += kind.returns;
+        refused += kind.refused_again;
+    }
+    return returns > 0 ? refused / returns : 0.0;
+}
+
 double served_share(const caller_counts& kind)
 {
     return (kind.in_time + kind.late) / kind.calls;
@@ -82,6 +93,10 @@
         for (std::size_t period = 1; period < 3 + windows_after; ++period) {
             std::cout << ' ' << in_time_share(this->fleet.period(period));
         }
+        std::cout << "; of those that returned at the stated time, refused again:";
+        for (std::size_t period = 1; period < 3 + windows_after; ++period) {
+            std::cout << ' ' << refused_again_share(this->fleet.period(period));
+        }
         std::cout << '\n';
     }
 
