--- a/tests/support/simulated_fleet.hpp
+++ b/tests/support/simulated_fleet.hpp
@@ -2,6 +2,7 @@
 #define KUMQUATDRIFT_TESTS_SUPPORT_SIMULATED_FLEET_HPP
 
 #include <algorithm>
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -63,8 +64,8 @@
  * @brief Entry nodes, targets with their nodes, and callers on a simulated clock, without a network.
  *
  * Each host has an entry node and a target. The modules under test place, queue and refuse the requests; this
- * class passes loads on with responses and pings, as nodes do. Half of the targets have three quarters of the
- * normal speed and half of them one and a quarter.
+ * class passes loads on with responses and pings, as nodes do. A quarter of the targets has half of the
+ * normal speed and a quarter one and a half times it.
  */
 class simulated_fleet {
 public:
@@ -74,7 +75,7 @@
         this->views.resize(this->options.target_count);
         for (std::size_t index = 0; index < this->targets.size(); ++index) {
             this->targets[index].queue.set_slots(this->options.slots);
-            this->targets[index].slowness = index % 2 == 0 ? 1.0 / 1.25 : 1.0 / 0.75;
+            this->targets[index].slowness = 1.0 / speeds[index % speeds.size()];
             this->views[index].resize(this->targets.size());
             for (std::size_t other = 0; other < this->targets.size(); ++other) {
                 this->ping(index, other, full_jitter(this->rng, ping_interval));
@@ -147,6 +148,7 @@
     double hops{};
 
 private:
+    static constexpr std::array<double, 4> speeds{0.5, 1.0, 1.0, 1.5};
     static constexpr microseconds ping_interval = milliseconds{300};
     static constexpr std::size_t data_centres = 3;
     static constexpr std::uint32_t max_full_targets = 2;
