--- a/include/kumquatdrift/mesh/config_fetch.hpp
+++ b/include/kumquatdrift/mesh/config_fetch.hpp
@@ -19,6 +19,10 @@
 /*! @brief Time for which a node follows the store after another one has taken its place, so that a link that
  * breaks for a moment does not make nodes read the complete configuration again. */
 constexpr microseconds follower_retirement{10'000'000};
+/*! @brief Time for which a read of the store waits for a new record. */
+constexpr microseconds store_poll_time{25'000'000};
+/*! @brief Time limit for the answer to a read of the store, in addition to the time for which it waits. */
+constexpr microseconds store_answer_timeout{1'500'000};
 /*! @brief Time after which a node that hasn't got a new configuration from another node reads it from the
  * store. */
 constexpr microseconds store_read_delay{500'000};
--- a/tests/distribution/sources.cpp
+++ b/tests/distribution/sources.cpp
@@ -218,6 +218,42 @@
     EXPECT_TRUE(this->plan().watch.empty());
 }
 
+constexpr milliseconds config_apply_limit{4'000};
+
+// Guards against a node of a small data centre that waits for longer than a version may take after all its
+// parents have fallen silent.
+TEST_F(sources_test, node_that_lost_its_parents_reads_the_log_within_the_apply_limit)
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        this->rng.seed(seed);
+        this->start_following();
+        (void)this->plan();
+        this->heartbeat("r1");
+        this->heartbeat("r2");
+        const auto lost_at = this->now;
+        while (!this->plan().read_log && this->now - lost_at < milliseconds{60'000}) {
+            this->now += milliseconds{100};
+        }
+        EXPECT_LT(this->now - lost_at, config_apply_limit) << "seed " << seed;
+    }
+}
+
+// Guards against a relay whose backoff keeps its data centre from the log after an outage.
+TEST_F(sources_test, relay_reads_the_log_within_the_apply_limit_after_an_outage)
+{
+    this->candidates.is_relay = true;
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        this->rng.seed(seed);
+        this->start_following();
+        (void)this->run_and_count_reads(milliseconds{60'000}, false);
+        const auto outage_end = this->now;
+        while (!this->plan().read_log && this->now - outage_end < milliseconds{60'000}) {
+            this->now += milliseconds{100};
+        }
+        EXPECT_LT(this->now - outage_end, config_apply_limit) << "seed " << seed;
+    }
+}
+
 class parent_test : public testing::Test {
 protected:
     parent_limits limits{};
--- a/tests/process/gateway_standins.py
+++ b/tests/process/gateway_standins.py
@@ -64,10 +64,18 @@
         self.calls = collections.Counter()
         self.rejected_ips = set()
         self.is_down = False
+        self.silenced_at = 0.0
         owner = self
 
         class Handler(QuietHandler):
+            def setup(self):
+                super().setup()
+                self.opened = time.monotonic()
+
             def reply(self, status, body=b"", fields=()):
+                if self.opened < owner.silenced_at:
+                    self.close_connection = True
+                    threading.Event().wait()  # Leaves the connection open, without an answer.
                 owner.responses.append((time.monotonic(), urllib.parse.urlsplit(self.path).path, status, len(body)))
                 super().reply(status, body, [*fields, ("Store-Era", str(owner.era))])
 
@@ -126,6 +134,10 @@
                 del times[kept:], self.topics[topic][kept:]
             self.condition.notify_all()
 
+    def silence_open_connections(self):
+        """Answers nothing more on the connections that are open now, and closes none of them. New ones work."""
+        self.silenced_at = time.monotonic()
+
     def newest(self, topic):
         with self.condition:
             items = {}
@@ -151,12 +163,13 @@
             return 200, struct.pack(">QQ", len(records), 0) + b"".join(
                 struct.pack(">I", len(content)) + content for content in records[start:])
 
-    def publish(self, version, routes, services):
+    def publish(self, version, routes, services, max_body_bytes=1000000, idle_timeout_s=15):
         """Publishes a configuration; each route is (path, kind, service, timeout in seconds)."""
         self.put("keyed.op", "config", json.dumps({
             "version": "%08x" % version,
             "services": [{"name": name, "health_path": "/health", "max_connections": 100} for name in services],
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 1000000, "header_timeout_s": 3, "idle_timeout_s": 15},
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": max_body_bytes, "header_timeout_s": 3,
+                       "idle_timeout_s": idle_timeout_s},
             "virtual_hosts": [{"host": "desk.example", "paths": [
                 {"name": path, "path_prefix": path, "kind": kind, "service": service, "timeout_s": timeout,
                  "target_latency_s": timeout, "priority": 1, "max_attempts": 2}
