Give nodes of the daemon that are no relays their parents on arm64

Cause: find_candidates passed std::move(list) by value beside list.size(). The order in which arguments are evaluated is unspecified; GCC evaluates them from the right on x86-64 and from the left on arm64, where the list was empty when its size was read, so that rendezvous_rank returned nothing. A node that is no relay then had neither parents nor remote relays and lived on fallback reads of the log. Evidence: gRPC's trace of the test shows no channel at all, and each node reports the log as its source and no watch.

The size is now read before the move. A search of src, platform, tools and include for statements that move from an object and use it again found no other place. The failing test is view_of_two_data_centres.each_node_has_the_relays_as_parents_and_those_of_the_other_data_centre.

--- a/src/distribution/candidates.cpp
+++ b/src/distribution/candidates.cpp
@@ -2,12 +2,23 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include <kumquatdrift/core/rendezvous.hpp>
 #include <kumquatdrift/membership/relays.hpp>
 
 namespace kumquatdrift::internal {
 
+namespace {
+
+std::vector<std::string> rank_all(const std::string& node, std::vector<std::string> names)
+{
+    const auto count = names.size();
+    return rendezvous_rank(node, std::move(names), count);
+}
+
+} // namespace
+
 source_candidates find_candidates(const member_view& view, const std::string& node,
                                   const std::string& data_centre)
 {
@@ -15,7 +26,7 @@
     found.parents = relays_of(view, data_centre);
     // A node acts as a relay as long as its view contains none.
     found.is_relay = found.parents.empty() || std::erase(found.parents, node) > 0;
-    found.parents = rendezvous_rank(node, std::move(found.parents), found.parents.size());
+    found.parents = rank_all(node, std::move(found.parents));
     std::set<std::string> remote;
     for (const auto& [name, entry] : view.members) {
         if (entry.record.data_centre != data_centre) {
@@ -26,7 +37,7 @@
         const auto relays = relays_of(view, name);
         found.remote_relays.insert(found.remote_relays.end(), relays.begin(), relays.end());
     }
-    found.remote_relays = rendezvous_rank(node, std::move(found.remote_relays), found.remote_relays.size());
+    found.remote_relays = rank_all(node, std::move(found.remote_relays));
     return found;
 }
 
