Let the daemon read the log in time after it has lost its sources

A node whose parents had both fallen silent decided by its old version for 6.5 to 16.5 s, and a relay waited up to 10 s for its next read after an outage of the log; a version has to be in force within 4 s. Both delays were fixed for a thousand nodes, whatever the number of nodes.

The random delay of a fallback read now follows from the number of nodes of the data centre (120 first reads a second: 1.5 s for 180 nodes, 0.1 s for ten), a parent counts as silent after 2 s instead of 6.5, and a relay repeats a failed read within 1 s instead of 10.

The older tests of sources keep their time-out of 6.5 s, which their intervals assume, and the test of the spread states its 1,000 nodes; its bound of 150 reads a second is unchanged.

--- a/include/kumquatdrift/distribution/sources.hpp
+++ b/include/kumquatdrift/distribution/sources.hpp
@@ -67,17 +67,20 @@
 struct source_settings {
     source_mode mode{source_mode::relays};
     /*! @brief Interval between the heartbeats of a parent. */
-    milliseconds heartbeat_interval{2'000};
+    milliseconds heartbeat_interval{800};
     /*! @brief Interval between reads of the log in mode `log_poll`. */
     milliseconds poll_interval{2'000};
     /*! @brief Timeout of a long poll of the log by a relay. The process cannot shut down during a poll. */
     milliseconds long_poll_timeout{2'000};
     /*! @brief Time after which a source that sends nothing counts as silent, and data that was current counts
-     * as stale. */
-    milliseconds silence_timeout{6'500};
-    /*! @brief Upper bound of the random delay before a node with silent parents reads the log. 10 s limits a
-     * thousand nodes that fall back together to a hundred reads per second. */
+     * as stale. With `fallback_reads_per_data_centre` it leaves half a second of the 4 s within which a
+     * version has to be in force, in a data centre of 180 nodes. */
+    milliseconds silence_timeout{2'000};
+    /*! @brief Upper bound of the random delay before a node with silent parents reads the log. */
     milliseconds fallback_jitter{10'000};
+    /*! @brief First reads per second of all nodes of a data centre together when they fall back to the log at
+     * the same time. The random delay of a node follows from the number of nodes. */
+    double fallback_reads_per_data_centre{120.0};
     /*! @brief Rate limit of a node that falls back to the log, in reads per second. */
     double fallback_reads_per_second{0.5};
     /*! @brief Upper bound of the random delay between the start of a node and its first read of the log. */
@@ -87,14 +90,19 @@
     milliseconds start_log_timeout{4'000};
     /*! @brief Time that a starting node waits for the snapshots of its peers. */
     milliseconds start_peer_timeout{2'000};
-    /*! @brief Backoff between attempts to watch a parent, and between failed reads of the log. */
+    /*! @brief Backoff between attempts to watch a parent. */
     backoff_policy reconnect{microseconds{500'000}, microseconds{10'000'000}};
+    /*! @brief Backoff between failed reads of the log. Few nodes read it, and a data centre waits for them
+     * when the log comes back. */
+    backoff_policy log_retry{microseconds{250'000}, microseconds{1'000'000}};
 };
 
 /*! @brief Nodes that a node may watch, computed from its member view. */
 struct source_candidates {
     /*! @brief True if this node is a relay according to its own view. */
     bool is_relay{};
+    /*! @brief Number of nodes in the data centre, with this one. */
+    std::size_t nodes{1};
     /*! @brief Relays of the same data centre except this node, in order of preference. */
     std::vector<std::string> parents{};
     /*! @brief Relays of other data centres, in order of preference. */
--- a/src/distribution/candidates.cpp
+++ b/src/distribution/candidates.cpp
@@ -28,11 +28,16 @@
     found.is_relay = found.parents.empty() || std::erase(found.parents, node) > 0;
     found.parents = rank_all(node, std::move(found.parents));
     std::set<std::string> remote;
+    std::size_t nodes = 0;
     for (const auto& [name, entry] : view.members) {
         if (entry.record.data_centre != data_centre) {
             remote.insert(entry.record.data_centre);
         }
+        else if (entry.status != member_status::dead) {
+            ++nodes;
+        }
     }
+    found.nodes = std::max<std::size_t>(nodes, 1);
     for (const auto& name : remote) {
         const auto relays = relays_of(view, name);
         found.remote_relays.insert(found.remote_relays.end(), relays.begin(), relays.end());
--- a/src/distribution/sources.cpp
+++ b/src/distribution/sources.cpp
@@ -102,8 +102,20 @@
     close_unselected_watches(state, plan.watch, candidates);
 }
 
+/*! @brief Draws the delay before the first read of a node that falls back to the log. */
+microseconds draw_fallback_delay(const source_state& state, const source_candidates& candidates,
+                                 random_engine& rng)
+{
+    const auto& settings = state.settings;
+    const std::chrono::duration<double> spread{static_cast<double>(candidates.nodes) /
+                                               std::max(settings.fallback_reads_per_data_centre, 0.001)};
+    return full_jitter(rng, std::min<microseconds>(std::chrono::duration_cast<microseconds>(spread),
+                                                   settings.fallback_jitter));
+}
+
 /*! @brief Plans a fallback read of the log by a node that has no current parent. */
-void plan_fallback(source_state& state, source_plan& plan, timestamp now, random_engine& rng)
+void plan_fallback(source_state& state, const source_candidates& candidates, source_plan& plan, timestamp now,
+                   random_engine& rng)
 {
     if (any_watch_current(state, now)) {
         state.fallback_read_at.reset();
@@ -114,7 +126,7 @@
         return;
     }
     if (!state.fallback_read_at) {
-        state.fallback_read_at = now + full_jitter(rng, state.settings.fallback_jitter);
+        state.fallback_read_at = now + draw_fallback_delay(state, candidates, rng);
     }
     plan.read_log = now >= *state.fallback_read_at && now >= state.next_log_read_at &&
                     state.fallback_reads.try_take(1.0, now);
@@ -128,7 +140,7 @@
         return;
     }
     if (!candidates.is_relay) {
-        plan_fallback(state, plan, now, rng);
+        plan_fallback(state, candidates, plan, now, rng);
         return;
     }
     plan.read_log = now >= state.next_log_read_at;
@@ -231,7 +243,7 @@
 void on_log_read(source_state& state, bool succeeded, bool at_end, timestamp now, random_engine& rng)
 {
     if (!succeeded) {
-        state.next_log_read_at = now + backoff_delay(state.settings.reconnect, state.log_failures, rng);
+        state.next_log_read_at = now + backoff_delay(state.settings.log_retry, state.log_failures, rng);
         ++state.log_failures;
         return;
     }
--- a/tests/distribution/sources.cpp
+++ b/tests/distribution/sources.cpp
@@ -42,10 +42,16 @@
         return count;
     }
 
-    source_settings settings{};
+    /*! @brief Settings with a silence timeout above the interval at which most tests send heartbeats. */
+    source_settings settings{[] {
+        source_settings patient;
+        patient.heartbeat_interval = milliseconds{2'000};
+        patient.silence_timeout = milliseconds{6'500};
+        return patient;
+    }()};
     timestamp now{milliseconds{1'000'000}};
     random_engine rng{1};
-    source_candidates candidates{false, {"r1", "r2", "r3"}, {"x1", "x2"}};
+    source_candidates candidates{false, 10, {"r1", "r2", "r3"}, {"x1", "x2"}};
     source_state state{};
 };
 
@@ -108,6 +114,7 @@
 TEST_F(sources_test, fallback_to_the_log_is_spread_over_the_jitter_and_limited_in_rate)
 {
     std::map<std::int64_t, int> per_second;
+    this->candidates.nodes = 1'000;
     for (int index = 0; index < 1'000; ++index) {
         this->now = timestamp{milliseconds{1'000'000}};
         this->start_following();
@@ -177,7 +184,7 @@
 // Guards against a startup that ends with the first snapshot instead of the newest one, or that never ends.
 TEST_F(sources_test, starting_node_without_the_log_fetches_snapshots_once_and_waits_a_bounded_time)
 {
-    this->candidates = {true, {}, {}};
+    this->candidates = {true, 1, {}, {}};
     this->state = make_source_state(this->settings, this->now, this->rng);
     int fetches = 0;
     const auto start = this->now;
@@ -224,6 +231,8 @@
 // parents have fallen silent.
 TEST_F(sources_test, node_that_lost_its_parents_reads_the_log_within_the_apply_limit)
 {
+    this->settings = {};
+    this->candidates.nodes = 180;
     for (std::uint64_t seed = 1; seed <= 50; ++seed) {
         this->rng.seed(seed);
         this->start_following();
@@ -241,6 +250,7 @@
 // Guards against a relay whose backoff keeps its data centre from the log after an outage.
 TEST_F(sources_test, relay_reads_the_log_within_the_apply_limit_after_an_outage)
 {
+    this->settings = {};
     this->candidates.is_relay = true;
     for (std::uint64_t seed = 1; seed <= 50; ++seed) {
         this->rng.seed(seed);
