Apply the limits of a new configuration to open connections

Callers on connections that were opened under an older version got 413 for bodies that the newer version allows (DENIED), and were closed after the older idle timeout. Cause: a session copied the limits when its connection was accepted; a connection from before the first configuration kept the built-in ones for its life.

A session now takes the limits in force whenever bytes arrive, also for a body that is partly in, and goes on waiting when its idle timeout expires under a newer, longer one. process.GatewayCallerLimits failed in (413 for 5,000 bytes; connection closed after 2 s of 10) and passes.

--- a/include/kumquatdrift/http/message.hpp
+++ b/include/kumquatdrift/http/message.hpp
@@ -91,6 +91,13 @@
     http_reader(http_reader&&) noexcept;
     http_reader& operator=(http_reader&&) noexcept;
 
+    /**
+     * @brief Changes the limits, also for a message that has been received in part.
+     * @param header_limit Maximum size of start line and header fields in bytes.
+     * @param body_limit Maximum size of a body in bytes.
+     */
+    void set_limits(std::size_t header_limit, std::size_t body_limit);
+
     /**
      * @brief Parses bytes from a buffer and removes them. Bytes after the message stay in the buffer; if
      *        parsing fails, all bytes stay.
--- a/src/gateway/http_server.cpp
+++ b/src/gateway/http_server.cpp
@@ -10,10 +10,10 @@
 /*! @brief Connection of a caller; handles one request at a time. */
 class http_session : public std::enable_shared_from_this<http_session> {
 public:
-    http_session(http_server& owner, socket_stream::pointer stream, const caller_limits& bounds)
-        : server{owner}, connection{std::move(stream)}, limits{bounds}, reader{http_reader::kind::request,
-                                                                               bounds.max_header_bytes,
-                                                                               bounds.max_body_bytes}
+    http_session(http_server& owner, socket_stream::pointer stream)
+        : server{owner}, connection{std::move(stream)}, reader{http_reader::kind::request,
+                                                               owner.limits().max_header_bytes,
+                                                               owner.limits().max_body_bytes}
     {
     }
 
@@ -30,7 +30,7 @@
                     session->on_closed();
                 }
             });
-        this->restart_timer(this->limits.idle_timeout);
+        this->await_request();
     }
 
     void respond(const http_response& response, bool close)
@@ -50,7 +50,7 @@
             this->remove();
             return;
         }
-        this->restart_timer(this->limits.idle_timeout);
+        this->await_request();
         this->connection->deliver();
     }
 
@@ -70,10 +70,12 @@
         if (this->exchange) {
             return;
         }
+        const auto limits = this->server.limits();
+        this->reader.set_limits(limits.max_header_bytes, limits.max_body_bytes);
         if (!this->receiving) {
             this->receiving = true;
             this->arrived = boot_now();
-            this->restart_timer(this->limits.header_timeout);
+            this->restart_timer(limits.header_timeout);
         }
         const auto progress = this->reader.feed(buffer);
         this->set_body_bytes(this->reader.partial().body.size());
@@ -108,7 +110,7 @@
         }
         this->head_handled = true;
         // The idle timeout bounds the time for the whole body; `max_body_bytes` bounds its size.
-        this->restart_timer(this->limits.idle_timeout);
+        this->restart_timer(this->server.limits().idle_timeout);
         if (const auto* expect = find_field(this->reader.partial().fields, "Expect");
             expect != nullptr && equals_ignore_case(*expect, "100-continue")) {
             this->connection->send("HTTP/1.1 100 Continue\r\n\r\n");
@@ -142,6 +144,23 @@
         this->remove();
     }
 
+    void await_request()
+    {
+        this->idle_since = boot_now();
+        this->restart_timer(this->server.limits().idle_timeout);
+    }
+
+    /*! @brief Goes on waiting for a request if a newer configuration allows longer. */
+    [[nodiscard]] bool extend_idle_time()
+    {
+        const auto left = this->idle_since + this->server.limits().idle_timeout - boot_now();
+        if (this->receiving || this->exchange || left <= microseconds{0}) {
+            return false;
+        }
+        this->restart_timer(left);
+        return true;
+    }
+
     void restart_timer(microseconds timeout)
     {
         this->server.loop.cancel(std::exchange(this->timer, 0));
@@ -152,6 +171,9 @@
                     session->reject(408);
                     return;
                 }
+                if (session->extend_idle_time()) {
+                    return;
+                }
                 session->connection->close();
                 session->remove();
             }
@@ -167,10 +189,10 @@
 
     http_server& server;
     socket_stream::pointer connection;
-    caller_limits limits;
     http_reader reader;
     http_exchange_ptr exchange{};
     timestamp arrived{};
+    timestamp idle_since{};
     event_loop::timer_id timer{};
     std::size_t body_bytes{};
     bool receiving{};
@@ -209,7 +231,7 @@
         connection->close();
         return;
     }
-    auto session = std::make_shared<http_session>(*this, connection, this->limits());
+    auto session = std::make_shared<http_session>(*this, connection);
     this->sessions.insert(session);
     session->start();
 }
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -153,6 +153,15 @@
         return this->request ? function(*this->request) : function(*this->response);
     }
 
+    void set_limits(std::size_t header_limit, std::size_t body_limit)
+    {
+        this->visit([&](auto& active) {
+            active.header_limit(static_cast<std::uint32_t>(header_limit));
+            active.body_limit(body_limit);
+            active.max_body = body_limit;
+        });
+    }
+
 private:
     std::optional<message_parser<true>> request{};
     std::optional<message_parser<false>> response{};
@@ -202,6 +211,15 @@
 http_reader::http_reader(http_reader&&) noexcept = default;
 http_reader& http_reader::operator=(http_reader&&) noexcept = default;
 
+void http_reader::set_limits(std::size_t header_limit, std::size_t body_limit)
+{
+    if (header_limit != this->max_header || body_limit != this->max_body) {
+        this->max_header = header_limit;
+        this->max_body = body_limit;
+        this->current_parser->set_limits(header_limit, body_limit);
+    }
+}
+
 read_progress http_reader::feed(std::string& buffer)
 {
     error_code error{};
