Put versions in force in time when sources of the gateway fail silently

Cause, as one class: what waits for a version waited for longer than a version may take. A follower's read of the store waited for 25 s and 1.5 s more, so that a connection which died without a reset hid every version; no node knew that it was behind. A node that was behind gave a silent source 1 s, left it alone for 3 s, and asked its own data centre first even after failures there. A node with an old version that knew of a newer one went on deciding by it, and the time since which it was behind never moved on in a series of versions.

Sources get 0.25 s for a difference, 1 s for a document, and after a failure all nodes are candidates. Nodes pass on the time since their version was known to be the newest: without such knowledge for 2 s, an unknown route gets 503 instead of 404; a node that reaches a newer one and is behind for 1.25 s answers 503, not run. Metrics and log lines show how far a node is behind, since when, and what it waits for (config_monitor).

--- a/include/kumquatdrift/mesh/config_fetch.hpp
+++ b/include/kumquatdrift/mesh/config_fetch.hpp
@@ -19,10 +19,15 @@
 /*! @brief Time for which a node follows the store after another one has taken its place, so that a link that
  * breaks for a moment does not make nodes read the complete configuration again. */
 constexpr microseconds follower_retirement{10'000'000};
-/*! @brief Time for which a read of the store waits for a new record. */
-constexpr microseconds store_poll_time{25'000'000};
+/*! @brief Time from the acknowledgement of a version until it has to be in force on all nodes. The other
+ * times in this file add up to less on each way of a version. */
+constexpr microseconds config_apply_time{2'000'000};
+/*! @brief Time for which a read of the store waits for a new record. A connection that has died without a
+ * reset shows only by a missing answer, so this and `store_answer_timeout` are part of `config_apply_time`.
+ */
+constexpr microseconds store_poll_time{1'000'000};
 /*! @brief Time limit for the answer to a read of the store, in addition to the time for which it waits. */
-constexpr microseconds store_answer_timeout{1'500'000};
+constexpr microseconds store_answer_timeout{500'000};
 /*! @brief Time after which a node that hasn't got a new configuration from another node reads it from the
  * store. */
 constexpr microseconds store_read_delay{500'000};
@@ -32,17 +37,28 @@
 /*! @brief Time after the start for which a node without a configuration waits for the store before it asks
  * another node. */
 constexpr microseconds start_fetch_delay{1'000'000};
-/*! @brief Time limit for the response of a node that was asked for its configuration. */
-constexpr microseconds fetch_timeout{1'000'000};
+/*! @brief Number of earlier versions to which a node can send a difference. */
+constexpr std::size_t max_previous_versions = 4;
+/*! @brief Time limit for a difference from a node that was asked; short, so that several nodes that don't
+ * respond fit into `config_apply_time`. A response that comes later is used all the same. */
+constexpr microseconds fetch_timeout{250'000};
+/*! @brief Time limit for a complete document, which takes long on a thin link. Asking for several at a time
+ * would fill it. */
+constexpr microseconds document_fetch_timeout{1'000'000};
 /*! @brief Time for which a node that did not respond in time, or with a document that cannot be used, is not
  * asked again. */
-constexpr microseconds failed_source_delay{3'000'000};
+constexpr microseconds failed_source_delay{2'000'000};
 /*! @brief Time after which a busy node is asked again if no other node has the configuration. */
 constexpr microseconds busy_source_delay{200'000};
 /*! @brief Time for which a node may run an older configuration than others and still call itself ready. It
  * leaves the rest of the time within which a version must be in force (2 s) to the platform, which stops
  * sending new requests after two checks that fail. */
 constexpr microseconds max_lag_when_ready{1'000'000};
+/*! @brief Time for which a node decides by an older configuration than a node that it reaches. It leaves the
+ * rest of `config_apply_time` to the time until a version is known. */
+constexpr microseconds max_lag_when_deciding{1'250'000};
+/*! @brief Maximum number of newer versions whose first report is remembered. */
+constexpr std::size_t max_newer_versions = 32;
 
 /*! @brief What a node knows about configurations that are newer than its own. */
 struct config_fetch {
@@ -53,8 +69,13 @@
     /*! @brief True once another node has reported the version that it runs. Until then this node may have
      * read an older version from the store than others run. */
     bool has_report{};
-    /*! @brief Time since which a newer version has been known; zero if there is none. */
+    /*! @brief Newer versions, with the time of the first report of each. */
+    std::map<std::uint32_t, timestamp> newer{};
+    /*! @brief Time since which a version that is still missing has been known; zero if there is none. */
     timestamp behind_since{};
+    /*! @brief Latest time at which the version in force, or an older one, is known to have been the newest;
+     * zero if that was never known. */
+    timestamp confirmed_at{};
     /*! @brief Time before which the store is not read again. */
     timestamp next_store_read{};
     /*! @brief Time until which this node follows the store even if it is not one of the followers; zero until
@@ -78,6 +99,14 @@
  */
 void observe_version(config_fetch& fetch, std::uint32_t version, timestamp now);
 
+/**
+ * @brief Records that a version was the newest one in the store.
+ * @param fetch State; updated if the node has this version or a newer one.
+ * @param version Version.
+ * @param at Time at which it was the newest.
+ */
+void confirm_version(config_fetch& fetch, std::uint32_t version, timestamp at);
+
 /**
  * @brief Records that a version is in force on this node.
  * @param fetch State; updated.
@@ -102,6 +131,24 @@
     return is_behind(fetch) || !fetch.has_report;
 }
 
+/**
+ * @brief Checks whether the version in force was recently known to be the newest.
+ * @param fetch State.
+ * @param now Current time.
+ * @return False if a newer version may have been acknowledged more than `config_apply_time` ago.
+ */
+[[nodiscard]] bool is_confirmed(const config_fetch& fetch, timestamp now) noexcept;
+
+/**
+ * @brief Checks whether requests must not be decided by the version in force, because a node that can be
+ * reached has had a newer one for too long. A node that is cut off from all newer ones goes on.
+ * @param fetch State.
+ * @param members Other nodes.
+ * @param now Current time.
+ * @return True if so.
+ */
+[[nodiscard]] bool is_outdated(const config_fetch& fetch, const member_table& members, timestamp now);
+
 /**
  * @brief Checks whether a node that doesn't follow the store has to read it, because no other node has sent
  * the newer version in time.
@@ -121,8 +168,8 @@
 
 /**
  * @brief Chooses the node to ask for a newer configuration: at random among the nodes of the own data centre
- * that have a newer one, and else among those of the others. One node is asked at a time, so that the bytes
- * that this node receives don't grow with the number of nodes.
+ * that have a newer one, and else, or after a failure, among all. One node is asked at a time, so that the
+ * bytes that this node receives don't grow with the number of nodes.
  * @param fetch State; `source` and `asked_at` are set, and a source that has not responded in time is given
  * up.
  * @param members Other nodes.
--- a/src/gateway/config_exchange.cpp
+++ b/src/gateway/config_exchange.cpp
@@ -9,15 +9,14 @@
 namespace kumquatdrift {
 namespace {
 
-/*! @brief Number of earlier documents that are kept as the base of differences. Nodes rarely lag further
- * behind; those get the complete document. */
-constexpr std::size_t max_previous_documents = 4;
 /*! @brief Rate in bytes per second at which documents are sent to other nodes: about a quarter of the
  * thinnest link (6 Mbit/s), so that requests keep the rest. Nodes that are told to come back find others that
  * have the document by then. */
 constexpr double send_bytes_per_second = 200'000.0;
 /*! @brief Bytes of documents that may be sent at once. */
 constexpr double send_burst_bytes = 100'000.0;
+/*! @brief Upper bound of the age that is reported to other nodes. */
+constexpr milliseconds max_reported_age{3'600'000};
 
 } // namespace
 
@@ -31,13 +30,22 @@
 {
     if (this->config) {
         this->previous.emplace_front(this->config->version, this->config->document);
-        this->previous.resize(std::min(this->previous.size(), max_previous_documents));
+        this->previous.resize(std::min(this->previous.size(), max_previous_versions));
     }
     this->config = std::move(newest);
     this->compressed.clear();
     set_version_in_force(this->fetch, this->config->version);
 }
 
+std::optional<milliseconds> config_exchange::age(timestamp now) const noexcept
+{
+    if (this->fetch.confirmed_at == timestamp{}) {
+        return std::nullopt;
+    }
+    return std::min(std::chrono::duration_cast<milliseconds>(now - this->fetch.confirmed_at),
+                    max_reported_age);
+}
+
 const std::string* config_exchange::known_document(std::uint32_t version) const
 {
     if (this->config && this->config->version == version) {
--- a/src/gateway/config_exchange.hpp
+++ b/src/gateway/config_exchange.hpp
@@ -65,6 +65,33 @@
         kumquatdrift::observe_version(this->fetch, version, now);
     }
 
+    /**
+     * @brief Records that the store showed no newer version than the one in force.
+     * @param now Current time.
+     */
+    void on_store_current(timestamp now)
+    {
+        confirm_version(this->fetch, this->fetch.version, now);
+    }
+
+    /**
+     * @brief Records when another node last knew its version to be the newest.
+     * @param version Version of the other node.
+     * @param age Time since then.
+     * @param now Current time.
+     */
+    void on_peer_age(std::uint32_t version, milliseconds age, timestamp now)
+    {
+        confirm_version(this->fetch, version, now - age);
+    }
+
+    /**
+     * @brief Returns the time since the version in force was known to be the newest.
+     * @param now Current time.
+     * @return Time, at most an hour; nothing if it was never known.
+     */
+    [[nodiscard]] std::optional<milliseconds> age(timestamp now) const noexcept;
+
     /**
      * @brief Responds to a request of another node.
      * @param node Node that asks.
--- a/src/gateway/entry_router.cpp
+++ b/src/gateway/entry_router.cpp
@@ -86,11 +86,19 @@
                               versions.has_report ? "configuration_behind" : "configuration_unconfirmed");
         return;
     }
+    if (is_outdated(versions, this->shared.peer_nodes.members(), boot_now())) {
+        this->reject_unrouted(exchange, 503, "configuration_outdated");
+        return;
+    }
     const auto* route = host != nullptr ? this->routes->find(*host, exchange->request.target) : nullptr;
     if (route == nullptr) {
         // A newer configuration may have the route.
         const auto behind = is_behind(versions) || !this->routes_confirmed;
-        this->reject_unrouted(exchange, behind ? 503 : 404, behind ? "configuration_behind" : "no_route");
+        const auto known = !behind && is_confirmed(versions, boot_now());
+        this->reject_unrouted(exchange, known ? 404 : 503,
+                              known    ? "no_route"
+                              : behind ? "configuration_behind"
+                                       : "configuration_unconfirmed");
         return;
     }
     if (id == nullptr || id->empty()) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,9 +3,7 @@
 #include <csignal>
 #include <ctime>
 #include <filesystem>
-#include <fstream>
 #include <random>
-#include <sstream>
 #include <utility>
 
 #include <unistd.h>
@@ -15,6 +13,7 @@
 #include <kumquatdrift/core/boot_clock.hpp>
 #include <kumquatdrift/telemetry/metrics.hpp>
 
+#include "config_monitor.hpp"
 #include "entry_router.hpp"
 #include "http_server.hpp"
 #include "loop.hpp"
@@ -137,6 +136,7 @@
         this->platform->watch(
             {[this](mesh_config_ptr newer) { this->apply_config(std::move(newer), "store"); },
              [this](bool available) { this->on_store_access(available); },
+             [this] { this->peer_nodes.on_store_current(boot_now()); },
              [this](const member_record& record) { this->peer_nodes.on_member(record); },
              [this](bool normal, const std::string& event, const std::string& fields) {
                  this->log.write(normal ? log_level::info : log_level::warn, event_class::state, "platform",
@@ -376,6 +376,7 @@
         }
         this->check_store(now);
         this->check_connected(now);
+        this->versions.on_tick(now);
         this->log.flush();
     }
 
@@ -442,6 +443,8 @@
     std::unique_ptr<mesh_platform> platform;
     target_host local_target;
     peers peer_nodes;
+    config_monitor versions{this->metrics, this->log,
+                            [this]() -> const config_fetch& { return this->peer_nodes.newer_config(); }};
     store_resets resets;
     entry_router router;
     http_server caller_server;
@@ -470,17 +473,6 @@
 
 } // namespace
 
-result<gateway_settings> load_gateway_settings(const std::string& path)
-{
-    std::ifstream file{path};
-    std::ostringstream text{};
-    text << file.rdbuf();
-    if (!file) {
-        return failure{"cannot read the settings file " + path};
-    }
-    return parse_gateway_settings(text.str());
-}
-
 result<bool> run_gateway(const gateway_settings& settings, const std::string& settings_path,
                          const platform_factory& make_platform, event_log& log)
 {
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -198,9 +198,16 @@
     }
     case hop::Frame::kPing: {
         this->on_peer_version(link->node, frame.ping().config_version());
+        if (frame.ping().has_config_age_ms()) {
+            this->configs.on_peer_age(frame.ping().config_version(),
+                                      milliseconds{frame.ping().config_age_ms()}, boot_now());
+        }
         hop::Frame pong{};
         pong.mutable_pong()->set_number(frame.ping().number());
         pong.mutable_pong()->set_config_version(this->configs.version());
+        if (const auto age = this->configs.age(boot_now())) {
+            pong.mutable_pong()->set_config_age_ms(static_cast<std::uint32_t>(age->count()));
+        }
         encode(this->shared.host.load(), *pong.mutable_pong()->mutable_load());
         pong.mutable_pong()->set_runs_received(link->runs_received);
         link->send(pong);
@@ -218,6 +225,10 @@
                                                                  : std::nullopt,
                                 boot_now());
         this->on_peer_version(link->node, frame.pong().config_version());
+        if (frame.pong().has_config_age_ms()) {
+            this->configs.on_peer_age(frame.pong().config_version(),
+                                      milliseconds{frame.pong().config_age_ms()}, boot_now());
+        }
         break;
     case hop::Frame::kAdvisory:
         this->shared.quarantine.on_advisory(decode(frame.advisory()), boot_now());
@@ -408,6 +419,9 @@
         hop::Frame frame{};
         frame.mutable_ping()->set_number(static_cast<std::uint64_t>(now.time_since_epoch().count()));
         frame.mutable_ping()->set_config_version(this->configs.version());
+        if (const auto age = this->configs.age(now)) {
+            frame.mutable_ping()->set_config_age_ms(static_cast<std::uint32_t>(age->count()));
+        }
         link->send(frame);
     }
 }
--- a/src/gateway/peers.hpp
+++ b/src/gateway/peers.hpp
@@ -84,6 +84,12 @@
         return this->configs.state();
     }
 
+    /*! @copydoc config_exchange::on_store_current */
+    void on_store_current(timestamp now)
+    {
+        this->configs.on_store_current(now);
+    }
+
     /**
      * @brief Checks whether the newest configuration has to be read from the store, because no other node has
      * sent it.
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -1,10 +1,14 @@
 #include <kumquatdrift/gateway/settings.hpp>
 
+#include <fstream>
 #include <limits>
 #include <optional>
+#include <sstream>
 
 #include <nlohmann/json.hpp>
 
+#include <kumquatdrift/gateway/gateway.hpp>
+
 #include "socket_stream.hpp"
 
 namespace kumquatdrift {
@@ -143,4 +147,15 @@
     return settings;
 }
 
+result<gateway_settings> load_gateway_settings(const std::string& path)
+{
+    std::ifstream file{path};
+    std::ostringstream text{};
+    text << file.rdbuf();
+    if (!file) {
+        return failure{"cannot read the settings file " + path};
+    }
+    return parse_gateway_settings(text.str());
+}
+
 } // namespace kumquatdrift
--- a/src/mesh/config_fetch.cpp
+++ b/src/mesh/config_fetch.cpp
@@ -1,6 +1,7 @@
 #include <kumquatdrift/mesh/config_fetch.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -18,14 +19,38 @@
     return delayed == fetch.not_before.end() || delayed->second <= now;
 }
 
+void update_behind_since(config_fetch& fetch)
+{
+    fetch.behind_since = {};
+    for (const auto& [version, since] : fetch.newer) {
+        fetch.behind_since = fetch.behind_since == timestamp{} ? since : std::min(fetch.behind_since, since);
+    }
+}
+
 } // namespace
 
 void observe_version(config_fetch& fetch, std::uint32_t version, timestamp now)
 {
     fetch.newest_known = std::max(fetch.newest_known, version);
     fetch.has_report = fetch.has_report || version > 0;
-    if (is_behind(fetch) && fetch.behind_since == timestamp{}) {
-        fetch.behind_since = now;
+    if (version <= fetch.version || fetch.newer.contains(version)) {
+        return;
+    }
+    if (fetch.newer.size() < max_newer_versions) {
+        fetch.newer.emplace(version, now);
+    }
+    else if (const auto last = std::prev(fetch.newer.end()); last->first < version) {
+        auto entry = fetch.newer.extract(last);
+        entry.key() = version;
+        fetch.newer.insert(std::move(entry));
+    }
+    update_behind_since(fetch);
+}
+
+void confirm_version(config_fetch& fetch, std::uint32_t version, timestamp at)
+{
+    if (version != 0 && version <= fetch.version) {
+        fetch.confirmed_at = std::max(fetch.confirmed_at, at);
     }
 }
 
@@ -33,13 +58,29 @@
 {
     fetch.version = version;
     fetch.newest_known = std::max(fetch.newest_known, version);
+    fetch.newer.erase(fetch.newer.begin(), fetch.newer.upper_bound(version));
+    update_behind_since(fetch);
     if (!is_behind(fetch)) {
-        fetch.behind_since = {};
         fetch.source.clear();
         fetch.not_before.clear();
     }
 }
 
+bool is_confirmed(const config_fetch& fetch, timestamp now) noexcept
+{
+    return fetch.confirmed_at != timestamp{} && now - fetch.confirmed_at <= config_apply_time;
+}
+
+bool is_outdated(const config_fetch& fetch, const member_table& members, timestamp now)
+{
+    if (!is_behind(fetch) || now - fetch.behind_since <= max_lag_when_deciding) {
+        return false;
+    }
+    return std::any_of(members.all().begin(), members.all().end(), [&fetch](const auto& entry) {
+        return entry.second.reachable && entry.second.record.config_version > fetch.version;
+    });
+}
+
 bool take_store_read(config_fetch& fetch, timestamp now)
 {
     if (!is_behind(fetch) || now - fetch.behind_since < store_read_delay || fetch.next_store_read > now) {
@@ -58,7 +99,8 @@
                                        std::string_view data_centre, timestamp now, random_engine& rng)
 {
     if (!fetch.source.empty()) {
-        if (now - fetch.asked_at <= fetch_timeout) {
+        const auto expects_difference = fetch.version != 0 && fetch.newer.size() <= max_previous_versions;
+        if (now - fetch.asked_at <= (expects_difference ? fetch_timeout : document_fetch_timeout)) {
             return std::nullopt;
         }
         fetch.not_before[std::exchange(fetch.source, "")] = now + failed_source_delay;
@@ -74,7 +116,11 @@
             (member.record.data_centre == data_centre ? nearby : distant).push_back(&node);
         }
     }
-    const auto& candidates = nearby.empty() ? distant : nearby;
+    // After a failure the others are tried in any order: the nodes nearby may share its cause.
+    if (nearby.empty() || !fetch.not_before.empty()) {
+        nearby.insert(nearby.end(), distant.begin(), distant.end());
+    }
+    const auto& candidates = nearby;
     if (candidates.empty()) {
         return std::nullopt;
     }
