Close connections to targets after a refusal that names no attempt

Another operator reported that a backend wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran (REFUSED), or the request ran twice (TWICE). In kumquatdriftd both could happen: its target's refusal without the number of an attempt left the connection in the pool, and the copy was taken for the response to the next request.

proxy_failure.repeated_refusal_is_no_response_to_a_request_that_ran failed before: verdict not_run for a request that had run, and two runs of one request. Such a connection is now closed. Targets that repeat the number keep their connections; for others, a refusal costs a new connection. The gateway doesn't reuse a connection after a response without id; two tests with a raw target and a process test show that it isn't affected (passed before the change too: not reproduced there).

--- a/src/proxy/outbound_request.cpp
+++ b/src/proxy/outbound_request.cpp
@@ -354,7 +354,11 @@
 
 void outbound_request::release_connection()
 {
-    const auto can_reuse = is_reusable(this->observation) && this->is_request_complete &&
+    // A second copy of a refusal without the number of its attempt would pass for the refusal of the next
+    // request, which may run.
+    const auto may_be_repeated = verdict_of(this->observation) == verdict::not_run &&
+                                 field_of(this->response(), attempt_header).empty();
+    const auto can_reuse = is_reusable(this->observation) && !may_be_repeated && this->is_request_complete &&
                            this->reader->is_done() && this->reader->keeps_alive() &&
                            !this->reader->ends_with_connection();
     if (can_reuse) {
--- /dev/null
+++ b/tests/gateway/repeated_refusal.cpp
@@ -0,0 +1,91 @@
+#include <array>
+#include <map>
+#include <string>
+
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <support/gateway_world.hpp>
+
+namespace kumquatdrift {
+namespace {
+
+using boost::asio::ip::tcp;
+
+/*! @brief A target host whose target is a raw socket that the test reads and writes. */
+class target_host_with_raw_target : public testing::Test {
+protected:
+    target_host_with_raw_target()
+    {
+        this->host.set_address({"127.0.0.1", this->acceptor.local_endpoint().port()});
+    }
+
+    void run(const std::string& attempt)
+    {
+        this->host.run(make_target_request(attempt, false), [this, attempt](attempt_result result) {
+            this->results.emplace(attempt, std::move(result));
+        });
+    }
+
+    /*! @brief Waits until a request has arrived on the first connection, and writes a response to it. */
+    void answer(const std::string& response)
+    {
+        if (!this->peer.is_open()) {
+            this->acceptor.accept(this->peer);
+        }
+        EXPECT_TRUE(this->world.run_until([this] { return this->peer.available() > 0; }));
+        std::array<char, 4'096> request{};
+        (void)this->peer.read_some(boost::asio::buffer(request));
+        this->write(response);
+        this->world.run_for(milliseconds{30});
+    }
+
+    void write(const std::string& bytes)
+    {
+        boost::system::error_code ignored{};
+        boost::asio::write(this->peer, boost::asio::buffer(bytes), ignored);
+    }
+
+    gateway_world world{};
+    tcp::acceptor acceptor{this->world.loop.context(), {boost::asio::ip::make_address_v4("127.0.0.1"), 0}};
+    tcp::socket peer{this->world.loop.context()};
+    target_host host{{this->world.loop, this->world.platform, this->world.log, this->world.metrics,
+                      this->world.quarantine},
+                     "node",
+                     std::chrono::seconds{60},
+                     [] {}};
+    std::map<std::string, attempt_result> results{};
+};
+
+// Guards against the refusal of a health check, written once more, that is taken for the response to a
+// request.
+TEST_F(target_host_with_raw_target, repeated_refusal_of_a_health_check_is_no_response_to_a_request)
+{
+    const std::string refusal{"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"};
+    this->host.check_health("service", "/health");
+    this->answer(refusal);
+    EXPECT_TRUE(this->host.on_report(make_report(report_state::ready, 5)));
+    this->run("r1");
+    this->world.run_for(milliseconds{30});
+    this->write(refusal);
+    this->world.run_for(milliseconds{50});
+    EXPECT_FALSE(this->results.contains("r1"));
+}
+
+// Guards against the refusal of a request, written once more, that is taken for the response to the next one.
+TEST_F(target_host_with_raw_target, repeated_refusal_of_a_request_is_no_response_to_the_next_one)
+{
+    EXPECT_TRUE(this->host.on_report(make_report(report_state::ready, 5)));
+    const std::string refusal{"HTTP/1.1 503 Busy\r\nX-Id: r1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"};
+    this->run("r1");
+    this->answer(refusal);
+    ASSERT_TRUE(this->results.contains("r1"));
+    EXPECT_EQ(this->results["r1"].outcome, attempt_outcome::shed);
+    this->run("r2");
+    this->answer(refusal + "HTTP/1.1 200 OK\r\nX-Id: r2\r\nX-Signature: s\r\nContent-Length: 4\r\n\r\ndone");
+    ASSERT_TRUE(this->results.contains("r2"));
+    EXPECT_EQ(this->results["r2"].outcome, attempt_outcome::answered);
+}
+
+} // namespace
+} // namespace kumquatdrift
--- a/tests/proxy/failures.cpp
+++ b/tests/proxy/failures.cpp
@@ -270,6 +270,21 @@
     EXPECT_GT(refused, 0) << "no connection was reused";
 }
 
+// Guards against an earlier refusal, written once more, that says of a request which ran that it did not run.
+TEST_F(proxy_failure, repeated_refusal_is_no_response_to_a_request_that_ran)
+{
+    this->start_with_target();
+    this->target.behave(behaviour::repeat_refusal);
+    for (int index = 0; index < 10; ++index) {
+        const auto id = std::to_string(index);
+        const auto response = this->call(id, "body");
+        EXPECT_LE(this->target.runs(id), 1U);
+        if (this->target.runs(id) > 0) {
+            EXPECT_NE(response.verdict(), "not_run") << id;
+        }
+    }
+}
+
 // Guards against a request that keeps running, and holds its slot, after its caller has disconnected.
 TEST_F(proxy_failure, cancelled_request_closes_the_connection_to_the_target)
 {
--- a/tests/proxy/fake_target.cpp
+++ b/tests/proxy/fake_target.cpp
@@ -250,6 +250,11 @@
         return false;
     }
     const auto id = field_in(head, "x-request-id");
+    if (selected == behaviour::repeat_refusal && previous.empty()) {
+        previous = "HTTP/1.1 503 Busy\r\nx-kumquatdrift-verdict: not_run\r\nContent-Length: 0\r\n\r\n";
+        send(socket, previous);
+        return true;
+    }
     if (selected != behaviour::reject_as_not_run) {
         const std::lock_guard lock{this->mutex};
         ++this->runs_by_id[id];
@@ -262,6 +267,9 @@
         send(socket, std::exchange(previous, response) + response);
         return true;
     }
+    if (selected == behaviour::repeat_refusal) {
+        send(socket, previous);
+    }
     return this->respond(socket, selected, text);
 }
 
--- a/tests/proxy/fake_target.hpp
+++ b/tests/proxy/fake_target.hpp
@@ -37,6 +37,7 @@
     reject_blocked_body,
     hint_before_body,
     repeat_previous_response,
+    repeat_refusal,
 };
 
 /*! @brief HTTP target on a free loopback port. Fails as configured and counts the runs of each request id. */
