--- a/tests/membership/first_contact.cpp
+++ b/tests/membership/first_contact.cpp
@@ -31,10 +31,18 @@
     const std::string valid = encode_presence({"a", "b", 1, {"10.0.0.1", 1}});
     auto newer = valid;
     newer.replace(newer.find("\"format\":1"), 10, "\"format\":2");
+    const auto with = [&valid](const std::string& member, const std::string& value) {
+        auto text = valid;
+        const auto begin = text.find(member) + member.size();
+        return text.replace(begin, text.find_first_of(",}", begin) - begin, value);
+    };
     for (const auto& text :
          {std::string{}, std::string{"[]"}, std::string{"{\"format\":1}"}, newer, std::string(5'000, ' '),
           std::string(900, '['), std::string{"null"}, encode_presence({"", "b", 1, {"10.0.0.1", 1}}),
-          encode_presence({"a", "b", 1, {"10.0.0.1", 0}})}) {
+          encode_presence({"a", "b", 1, {"10.0.0.1", 0}}), with("\"gossip_port\":", "70000"),
+          with("\"gossip_port\":", "-1"), with("\"gossip_port\":", "1e999"),
+          with("\"gossip_port\":", "1208925819614629174706176"), with("\"start_time\":", "1e999"),
+          with("\"start_time\":", "-1"), with("\"start_time\":", "[[[[[[1]]]]]]")}) {
         const auto decoded = decode_presence(text);
         EXPECT_FALSE(decoded) << text;
         EXPECT_FALSE(decoded.last_reason().empty());
--- a/tests/platform/decode.cpp
+++ b/tests/platform/decode.cpp
@@ -184,6 +184,38 @@
     EXPECT_EQ(this->records, (std::map<std::string, std::string>{{"a", "123"}, {"b", "x"}}));
 }
 
+/*! @brief An entry that another writer left among those of the nodes. */
+class decode_odd_member : public testing::TestWithParam<std::string> {};
+
+// Guards against a process that ends, or a reader that stops, because of one entry.
+TEST_P(decode_odd_member, is_refused)
+{
+    EXPECT_FALSE(decode_member(GetParam()));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cases, decode_odd_member,
+    testing::Values(std::string(100'000, '['), std::string(100'000, '[') + std::string(100'000, ']'),
+                    R"({"node":"n","ip":"10.0.0.1","port":70000})",
+                    R"({"node":"n","ip":"10.0.0.1","port":-1})",
+                    R"({"node":"n","ip":"10.0.0.1","port":1e999})",
+                    R"({"node":"n","ip":"10.0.0.1","port":1208925819614629174706176})",
+                    R"({"node":"n","ip":"999.0.0.1","port":1})", R"({"node":"n","ip":"host","port":1})",
+                    R"({"node":["n"],"ip":"10.0.0.1","port":1})", "\xff\xfe", "null", ""));
+
+TEST(newest_page_with_odd_value, is_decoded_without_the_value)
+{
+    std::map<std::string, std::string> found{};
+    const auto page = decode_newest_page(
+        R"({"items":[{"key":"a","value":"%%%"},{"key":"b","value":"dg=="}],"has_more":false,"end":2})",
+        [&found](std::string_view key, std::optional<std::string_view> value) {
+            found[std::string{key}] = std::string{value.value_or("")};
+        });
+    ASSERT_TRUE(page);
+    EXPECT_EQ(found["a"], "");
+    EXPECT_EQ(found["b"], "v");
+}
+
 TEST(decoded_member, round_trip_keeps_address)
 {
     member_record record{};
