Route requests whose target is in absolute form

A proper request with the target http://HOST/PATH got 404 from the gateway (DENIED): the route was looked up with the whole target as its path.

The daemon answers 400 to this form as its own tests state, unchanged.

--- a/src/gateway/entry_router.cpp
+++ b/src/gateway/entry_router.cpp
@@ -6,6 +6,7 @@
 
 #include <kumquatdrift/core/boot_clock.hpp>
 #include <kumquatdrift/core/digest.hpp>
+#include <kumquatdrift/http/request_target.hpp>
 
 namespace kumquatdrift {
 namespace {
@@ -70,7 +71,11 @@
 void entry_router::on_request(const http_exchange_ptr& exchange)
 {
     const auto& fields = exchange->request.fields;
-    const auto* host = find_field(fields, "Host");
+    const auto* host_field = find_field(fields, "Host");
+    const auto target = split_request_target(exchange->request.target);
+    const auto host = !target.authority.empty() ? target.authority
+                      : host_field != nullptr   ? std::string_view{*host_field}
+                                                : std::string_view{};
     const auto* id = find_field(fields, this->shared.platform.headers().attempt_id);
     if (this->stopping) {
         this->reject_unrouted(exchange, 503, "node_stops");
@@ -90,7 +95,7 @@
         this->reject_unrouted(exchange, 503, "configuration_outdated");
         return;
     }
-    const auto* route = host != nullptr ? this->routes->find(*host, exchange->request.target) : nullptr;
+    const auto* route = this->routes->find(host, target.path);
     if (route == nullptr) {
         // A newer configuration may have the route.
         const auto behind = is_behind(versions) || !this->routes_confirmed;
@@ -156,11 +161,11 @@
     request->caller_service = this->shared.settings.service;
     request->header_lines = end_to_end_lines(
         message.fields, {headers.time_left_ms, headers.expected_instance, headers.caller_service});
-    request->fingerprint =
-        crash_quarantine::fingerprint(request->service, message.method, message.target, message.body);
+    request->fingerprint = crash_quarantine::fingerprint(
+        request->service, message.method, split_request_target(message.target).path, message.body);
     request->expected_service_time = this->mean_service_times.expected(route.name);
     request->method = message.method;
-    request->request_target = message.target;
+    request->request_target = split_request_target(message.target).path;
     request->body = std::move(message.body);
     return request;
 }
