--- a/include/kumquatdrift/distribution/sources.hpp
+++ b/include/kumquatdrift/distribution/sources.hpp
@@ -67,15 +67,16 @@
 struct source_settings {
     source_mode mode{source_mode::relays};
     /*! @brief Interval between the heartbeats of a parent. */
-    milliseconds heartbeat_interval{800};
+    milliseconds heartbeat_interval{1'000};
     /*! @brief Interval between reads of the log in mode `log_poll`. */
     milliseconds poll_interval{2'000};
-    /*! @brief Timeout of a long poll of the log by a relay. The process cannot shut down during a poll. */
-    milliseconds long_poll_timeout{2'000};
+    /*! @brief Timeout of a long poll of the log by a relay. The process cannot shut down during a poll. With
+     * the time limit of the answer, it bounds the time until a silent connection to the log is noticed. */
+    milliseconds long_poll_timeout{1'000};
     /*! @brief Time after which a source that sends nothing counts as silent, and data that was current counts
-     * as stale. With `fallback_reads_per_data_centre` it leaves half a second of the 4 s within which a
-     * version has to be in force, in a data centre of 180 nodes. */
-    milliseconds silence_timeout{2'000};
+     * as stale. With `fallback_reads_per_data_centre` it leaves a quarter of a second of the 4 s within which
+     * a version has to be in force, in a data centre of 180 nodes. */
+    milliseconds silence_timeout{2'200};
     /*! @brief Upper bound of the random delay before a node with silent parents reads the log. */
     milliseconds fallback_jitter{10'000};
     /*! @brief First reads per second of all nodes of a data centre together when they fall back to the log at
--- a/include/kumquatdrift/log/http.hpp
+++ b/include/kumquatdrift/log/http.hpp
@@ -18,7 +18,7 @@
     milliseconds connect_timeout{1'000};
     /*! @brief Longest time without progress of a response, in addition to the wait of a long poll. The body
      * must be complete within this time after the head. */
-    milliseconds response_timeout{3'000};
+    milliseconds response_timeout{2'000};
     /*! @brief Largest number of idle connections kept open for reuse. */
     std::size_t max_idle_connections{4};
     /*! @brief Time after which an idle connection is not reused. Must be shorter than the idle timeout of the
--- a/src/settings/fields.cpp
+++ b/src/settings/fields.cpp
@@ -220,11 +220,11 @@
                   {50, hour_ms, 1'000,
                    [](daemon_settings& settings) -> std::int64_t& { return settings.log_poll_interval_ms; }});
     table.integer("distribution.heartbeat_interval_ms", "ms", "Time between heartbeats of a parent.",
-                  {100, hour_ms, 800, [](daemon_settings& settings) -> std::int64_t& {
+                  {100, hour_ms, 1'000, [](daemon_settings& settings) -> std::int64_t& {
                        return settings.heartbeat_interval_ms;
                    }});
     table.integer("distribution.silence_timeout_ms", "ms", "Time after which a parent counts as silent.",
-                  {200, hour_ms, 2'000,
+                  {200, hour_ms, 2'200,
                    [](daemon_settings& settings) -> std::int64_t& { return settings.silence_timeout_ms; }});
 }
 
--- a/tests/distribution/sources.cpp
+++ b/tests/distribution/sources.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include <kumquatdrift/distribution/sources.hpp>
+#include <kumquatdrift/log/http.hpp>
 
 namespace kumquatdrift {
 namespace {
@@ -264,6 +265,15 @@
     }
 }
 
+// Guards against a relay that waits for a log whose connection died without a reset for longer than a version
+// may take.
+TEST(default_source_settings, give_up_a_read_of_a_silent_log_within_the_apply_limit)
+{
+    const source_settings settings{};
+    const auto noticed = settings.long_poll_timeout + http_log_settings{}.response_timeout;
+    EXPECT_LT(noticed + settings.log_retry.base, config_apply_limit);
+}
+
 class parent_test : public testing::Test {
 protected:
     parent_limits limits{};
