--- a/src/gateway/config_exchange.hpp
+++ b/src/gateway/config_exchange.hpp
@@ -80,7 +80,7 @@
      * @param age Time since then.
      * @param now Current time.
      */
-    void on_peer_age(std::uint32_t version, milliseconds age, timestamp now)
+    void on_peer_age(std::uint32_t version, microseconds age, timestamp now)
     {
         confirm_version(this->fetch, version, now - age);
     }
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -155,6 +155,20 @@
     }
 }
 
+template<typename Message>
+void peers::on_peer_version(const std::string& node, const Message& message, microseconds delay)
+{
+    const auto now = boot_now();
+    const auto version = message.config_version();
+    if (auto* known = this->table.find(node)) {
+        known->record.config_version = std::max(known->record.config_version, version);
+    }
+    this->configs.observe_version(version, now);
+    if (message.has_config_age_ms()) {
+        this->configs.on_peer_age(version, milliseconds{message.config_age_ms()} + delay, now);
+    }
+}
+
 void peers::on_frame(const peer_link::pointer& link, hop::Frame& frame, microseconds queueing_delay)
 {
     if (frame.has_ping() || frame.has_pong() || frame.has_offer() ||
@@ -197,11 +211,7 @@
         break;
     }
     case hop::Frame::kPing: {
-        this->on_peer_version(link->node, frame.ping().config_version());
-        if (frame.ping().has_config_age_ms()) {
-            this->configs.on_peer_age(frame.ping().config_version(),
-                                      milliseconds{frame.ping().config_age_ms()}, boot_now());
-        }
+        this->on_peer_version(link->node, frame.ping(), queueing_delay);
         hop::Frame pong{};
         pong.mutable_pong()->set_number(frame.ping().number());
         pong.mutable_pong()->set_config_version(this->configs.version());
@@ -224,11 +234,7 @@
                                 frame.pong().has_runs_received() ? std::optional{frame.pong().runs_received()}
                                                                  : std::nullopt,
                                 boot_now());
-        this->on_peer_version(link->node, frame.pong().config_version());
-        if (frame.pong().has_config_age_ms()) {
-            this->configs.on_peer_age(frame.pong().config_version(),
-                                      milliseconds{frame.pong().config_age_ms()}, boot_now());
-        }
+        this->on_peer_version(link->node, frame.pong(), queueing_delay);
         break;
     case hop::Frame::kAdvisory:
         this->shared.quarantine.on_advisory(decode(frame.advisory()), boot_now());
@@ -335,14 +341,6 @@
     });
 }
 
-void peers::on_peer_version(const std::string& node, std::uint32_t version)
-{
-    if (auto* known = this->table.find(node)) {
-        known->record.config_version = std::max(known->record.config_version, version);
-    }
-    this->configs.observe_version(version, boot_now());
-}
-
 bool peers::send_to(const std::string& node, hop::Frame& frame)
 {
     const auto found = this->outbound_links.find(node);
--- a/src/gateway/peers.hpp
+++ b/src/gateway/peers.hpp
@@ -194,7 +194,10 @@
     void check_replaced_links(timestamp now);
     void on_tick(timestamp now);
     void check_link(const std::string& node, outbound_link& peer, timestamp now);
-    void on_peer_version(const std::string& node, std::uint32_t version);
+    /*! @brief Records what a ping or a pong, which took `delay` to arrive, states about the configuration of
+     * its sender. */
+    template<typename Message>
+    void on_peer_version(const std::string& node, const Message& message, microseconds delay);
     [[nodiscard]] bool send_to(const std::string& node, hop::Frame& frame);
     void set_reachable(const std::string& node, bool reachable, const std::string& cause);
     void send_advisories();
