--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -310,7 +310,9 @@
 class Client:
     """A client on a node's machine that sends one request after the other on a kept connection."""
 
-    def __init__(self, node, path, method="GET", body_bytes=0, pause_s=0.05, deadline_ms=2000):
+    def __init__(self, node, path, method="GET", body_bytes=0, pause_s=0.05, deadline_ms=2000,
+                 once=False):
+        self.once = once
         self.node, self.path, self.method, self.pause_s, self.deadline_ms = node, path, method, pause_s, deadline_ms
         self.record = node.mesh.record
         self.body = b"x" * body_bytes
@@ -351,7 +353,11 @@
             self.results.append((sent, self.record.now(), attempt, status))
             self.record.write("client of %s: %s %s %s sent at %.3f -> %s" % (
                 self.node.name, self.method, self.path, attempt, sent, status))
+            if self.once:
+                break
             time.sleep(self.pause_s if status == 200 else max(self.pause_s, 0.1))
+        if stream:
+            stream.socket.close()
 
     def stop(self):
         self.running = False
