--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -389,6 +389,11 @@
         self.backends.append(backend)
         return backend
 
+    def add_backend_of(self, kind, *arguments, **named):
+        backend = kind(*arguments, **named)
+        self.backends.append(backend)
+        return backend
+
     def add_client(self, *arguments, **named):
         client = Client(*arguments, **named)
         self.clients.append(client)
