--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -87,11 +87,17 @@
         self.log_path = mesh.folder / (name + ".log")
         self.process = None
 
+    def write_settings(self):
+        """Writes the settings file, without a signal."""
+        deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]["gateway"]
+        other = self.path.with_suffix(".new")
+        other.write_text(render((ROOT / deploy["template"]).read_text(), self.fields))
+        other.replace(self.path)
+
     def start(self):
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]["gateway"]
-        text = render((ROOT / deploy["template"]).read_text(), self.fields)
         # The metrics port is fixed in the template; each node has an address of its own.
-        self.path.write_text(text)
+        self.write_settings()
         command = [str(self.path) if word.startswith("/etc/") else word for word in deploy["run"].split()]
         with open(self.log_path, "ab") as output:
             self.process = subprocess.Popen(command, cwd=ROOT, stdin=subprocess.DEVNULL, stdout=output, stderr=output)
@@ -176,6 +182,7 @@
         self.busy = 0
         self.queued = 0
         self.runs = []  # (time, attempt id)
+        self.callers = {}  # Attempt id -> service of the caller, as the request states it.
         self.connections = set()
         self.acknowledged = {}  # State -> time of its first acknowledgement.
         self.alive = True
@@ -237,7 +244,8 @@
             self.queued -= 1
             self.busy += 1
             self.runs.append((self.mesh.record.now(), attempt))
-        self.mesh.record.write("backend %s runs %s" % (self.instance, attempt))
+            self.callers[attempt] = fields.get("x-kumquatdrift-caller-service")
+        self.mesh.record.write("backend %s runs %s of caller service %s" % (self.instance, attempt, self.callers[attempt]))
         try:
             time.sleep(self.work_s * self.slow_factor)
         finally:
@@ -415,6 +423,7 @@
         time.sleep(max(0.0, when - self.record.now()))
 
     def close(self):
+        self.record.write("end of the case")
         for client in self.clients:
             client.stop()
         for node in self.nodes:
