--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,11 +1,8 @@
-"""A request that crashes backends comes again after each of three rolling restarts of the nodes."""
+"""The machines of a service are restarted in turn, and their backends start again under the ids that they had."""
 
 import pathlib
-import random
 import signal
-import socket
 import sys
-import threading
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -13,84 +10,72 @@
 
 import harness  # noqa: E402
 
-STABLE_WINDOW_S = harness.BOUNDS["stable_window_s"]
-POISON_PATH = "/reserva/7c"
-BACK_AFTER_S = 2
-MAX_LATE_RETRIES = 3
+BOUNDS = harness.BOUNDS
+FIRST, ADDED = "/catalogo/", "/ajuste/"
+MEASURED_S = 15
+MIN_REQUESTS = 20
+MIN_RATIO = 0.25
 
 
-class CrashingBackend(harness.Backend):
-    """Crashes when it begins to run the request, and is back after some seconds as a new incarnation."""
+def restart(mesh, backend, keeps_id):
+    """Restarts a backend and its node as planned work; returns the new backend."""
+    node = backend.node
+    backend.state = "draining"
+    backend.report()
+    time.sleep(BOUNDS["drain_s"] + 0.5)
+    backend.deregister()
+    backend.end("exits after its leave")
+    node.signal(signal.SIGTERM)
+    node.process.wait()
+    mesh.record.write("%s: process ended" % node.name)
+    time.sleep(0.5)
+    node.start()
+    time.sleep(0.5)
+    return mesh.add_backend(node, instance=backend.instance if keeps_id else None)
 
-    def answer(self, line, fields, body):
-        if POISON_PATH not in line:
-            return super().answer(line, fields, body)
-        self.mesh.poisoned.append((self.mesh.record.now(), fields["x-kumquatdrift-attempt-id"], self.instance))
-        self.mesh.record.write("backend %s begins to run the crashing request %s" % (
-            self.instance, fields["x-kumquatdrift-attempt-id"]))
-        self.end("crashes")
-        threading.Thread(target=self.restart, daemon=True).start()
-        raise harness.Incomplete("crashed")
 
-    def restart(self):
-        time.sleep(BACK_AFTER_S)
-        self.mesh.add_backend_of(CrashingBackend, self.node, work_s=self.work_s)
-
-
-def send_poison(node):
-    """Sends the request once, on a connection of its own."""
-    attempt = "%016x" % random.getrandbits(64)
-    status = "closed"
-    try:
-        with socket.create_connection((node.ip, node.ports["outbound"]), timeout=1) as connection:
-            connection.settimeout(3)
-            connection.sendall(("POST %s HTTP/1.1\r\nHost: %s\r\nX-Kumquatdrift-Attempt-Id: %s\r\n"
-                                "X-Kumquatdrift-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n" % (POISON_PATH, harness.HOST, attempt)).encode())
-            status = harness.Stream(connection).read_message()[0].split(" ")[1]
-    except (OSError, harness.Incomplete):
-        pass
-    node.mesh.record.write("client of %s: crashing request %s -> %s" % (node.name, attempt, status))
+def served_share(mesh, path, start):
+    results = [status for client in mesh.clients if client.path.startswith(path)
+               for sent, ended, attempt, status in list(client.results) if sent >= start]
+    served = sum(status == 200 for status in results)
+    mesh.record.write("route %s: %d of %d requests served" % (path, served, len(results)))
+    return served / len(results) if results else 0.0, len(results)
 
 
 def case(mesh, trouble):
-    mesh.poisoned = []
-    nodes = [mesh.add_node("sidecar-alfama-1", "alfama", "balcao"), mesh.add_node("sidecar-belem-1", "belem", "balcao"),
-             mesh.add_node("sidecar-graca-1", "graca", "balcao")]
-    mesh.publish(7, [("/catalogo/", "idempotent", "balcao", 2), ("/reserva/", "non_idempotent", "balcao", 2)], ["balcao"])
-    for node in nodes:
+    callers = [mesh.add_node("sidecar-alfama-1", "alfama", "balcao"), mesh.add_node("sidecar-belem-1", "belem", "balcao")]
+    ateliers = [mesh.add_node("sidecar-alfama-2", "alfama", "atelier"), mesh.add_node("sidecar-graca-1", "graca", "atelier")]
+    first = [(FIRST, "idempotent", "balcao", 2)]
+    mesh.publish(7, first, ["balcao", "atelier"])
+    for node in mesh.nodes:
         node.start()
-    for node in nodes:
-        mesh.add_backend_of(CrashingBackend, node, work_s=0.09)
+    for node in callers:
+        mesh.add_backend(node)
+    leaving = [mesh.add_backend(node) for node in ateliers]
     mesh.wait_ready()
-    for node in nodes:
-        mesh.add_client(node, "/reserva/2f", "POST", 4000, 0.05)
-    time.sleep(STABLE_WINDOW_S + 1)
-    for round_number in range(4):
-        if trouble and round_number > 0:
-            for node in nodes:
-                node.signal(signal.SIGTERM)
-                node.process.wait()
-                mesh.record.write("%s: process ended" % node.name)
-                node.start()
-                end = time.monotonic() + 5
-                while not node.is_ready() and time.monotonic() < end:
-                    time.sleep(0.05)
-        time.sleep(STABLE_WINDOW_S + 1)
-        # The client comes back at another machine each time.
-        for number in range(3):
-            send_poison(nodes[number])
-            time.sleep(STABLE_WINDOW_S + 0.5)
-    times = [when for when, _, _ in mesh.poisoned]
-    late = [(when, attempt, instance) for when, attempt, instance in mesh.poisoned
-            if len(times) >= 3 and when > times[2] + STABLE_WINDOW_S]
-    mesh.record.write("%d crashes, %d of them later than %d s after the third" % (len(times), len(late), STABLE_WINDOW_S))
-    lost = [attempt for client in mesh.clients for _, _, attempt, status in client.results if status == 502]
-    mesh.record.write("%d other requests were lost with the backends that ran them" % len(lost))
-    print(len(times), "crashes,", len(late), "late")
-    if len(late) <= MAX_LATE_RETRIES:
+    time.sleep(1)
+    mesh.publish(9, first + [(ADDED, "non_idempotent", "atelier", 2)], ["balcao", "atelier"])
+    time.sleep(BOUNDS["config_apply_s"] + 1)
+    before = mesh.record.now()
+    for node in callers:
+        mesh.add_client(node, FIRST + "2f")
+        mesh.add_client(node, ADDED + "2f", "DELETE")
+    time.sleep(BOUNDS["stable_window_s"])
+    if min(served_share(mesh, FIRST, before)[0], served_share(mesh, ADDED, before)[0]) < 0.9:
+        raise RuntimeError("the routes are not served before the restarts")
+    for backend in leaving:
+        new = restart(mesh, backend, trouble)
+        time.sleep(BOUNDS["stable_window_s"] + 1)
+        if "ready" not in new.acknowledged:
+            raise RuntimeError("the report of the restarted backend was not acknowledged")
+    steady = mesh.record.now()
+    time.sleep(MEASURED_S)
+    first_share, first_count = served_share(mesh, FIRST, steady)
+    added_share, added_count = served_share(mesh, ADDED, steady)
+    if added_count < MIN_REQUESTS or first_count < MIN_REQUESTS or added_share >= MIN_RATIO * first_share:
         return []
-    return ["BUDGET: the request that crashes backends reached %s as %s at %.3f" % (instance, attempt, when)
-            for when, attempt, instance in late]
+    return ["CONFIG: in steady state %.0f %% of %d requests on the route that was added later are served, %.0f %% of %d on the "
+            "first one" % (100 * added_share, added_count, 100 * first_share, first_count)]
 
 
 harness.run_case(case, FOLDER)
