Reject responses whose status is outside 100 to 599

The daemon passed on 600 and 999, and skipped 000 as an interim response, so that what followed it became the answer.

Cause: Beast's parser takes any three digits, and no reader checked the range of RFC 9110, 15. A node also took any status that another node passed on in a frame.

Change: the parser of the gateway fails with `bad_status`, which ends a call to a target, a liveness check or a read of the store as malformed. A frame that states a response with a status below 200 or above 599 is read as `malformed`. The daemon checks each head with `is_valid_response`. In each case the request may have run: 502, and only idempotent requests are sent again. The client of the log service compares with the few codes that it knows, and needs no change.

--- a/include/kumquatdrift/http/message.hpp
+++ b/include/kumquatdrift/http/message.hpp
@@ -64,6 +64,13 @@
 [[nodiscard]] std::string end_to_end_lines(const http_fields& fields,
                                            const std::vector<std::string>& without);
 
+/*! @brief Smallest valid status code (RFC 9110, 15). */
+inline constexpr unsigned min_status = 100;
+/*! @brief Smallest status code of a final response. */
+inline constexpr unsigned min_final_status = 200;
+/*! @brief Largest valid status code (RFC 9110, 15). */
+inline constexpr unsigned max_status = 599;
+
 /*! @brief Progress of parsing a message. */
 enum class read_progress : std::uint8_t {
     /*! @brief The message is incomplete; more bytes are needed. */
--- a/src/gateway/hop_codec.cpp
+++ b/src/gateway/hop_codec.cpp
@@ -6,6 +6,8 @@
 #include <limits>
 #include <utility>
 
+#include <kumquatdrift/http/message.hpp>
+
 namespace kumquatdrift {
 namespace {
 
@@ -247,6 +249,10 @@
                          ? static_cast<attempt_outcome>(message.end())
                          : attempt_outcome::lost;
     result.status = message.status();
+    if (result.outcome == attempt_outcome::answered &&
+        (result.status < min_final_status || result.status > max_status)) {
+        result.outcome = attempt_outcome::malformed;
+    }
     result.reason = std::move(*message.mutable_reason());
     result.header_lines = std::move(*message.mutable_fields());
     result.body = std::move(*message.mutable_body());
--- a/src/gateway/hop_codec.hpp
+++ b/src/gateway/hop_codec.hpp
@@ -106,7 +106,7 @@
 /**
  * @brief Decodes a result.
  * @param message Message; its strings are moved from.
- * @return The result.
+ * @return The result; `malformed` if it is a response whose status is not that of a final response.
  */
 [[nodiscard]] attempt_result decode(hop::Answer& message);
 
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -52,9 +52,13 @@
         this->message.target = view(target);
     }
 
-    void on_response_impl(int status, boost::beast::string_view reason, int, error_code&) override
+    void on_response_impl(int status, boost::beast::string_view reason, int, error_code& error) override
     {
         this->message.status = static_cast<unsigned>(status);
+        // Beast accepts any three digits.
+        if (this->message.status < min_status || this->message.status > max_status) {
+            error = http::error::bad_status;
+        }
         this->message.reason = view(reason);
     }
 
--- a/src/proxy/message_reader.cpp
+++ b/src/proxy/message_reader.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <kumquatdrift/http/message.hpp>
+
 namespace kumquatdrift::internal {
 
 namespace http = boost::beast::http;
@@ -140,4 +142,9 @@
     return coding_fields == 1 && is_http_1_1 && boost::beast::iequals(coding, "chunked");
 }
 
+bool is_valid_response(const response_reader::head_type& head) noexcept
+{
+    return head.result_int() >= min_status && head.result_int() <= max_status;
+}
+
 } // namespace kumquatdrift::internal
--- a/src/proxy/message_reader.hpp
+++ b/src/proxy/message_reader.hpp
@@ -147,6 +147,13 @@
  */
 [[nodiscard]] bool is_valid_request(const request_reader::head_type& head);
 
+/**
+ * @brief Checks what Beast does not: a status code from 100 to 599 (RFC 9110, 15).
+ * @param head Head of the response.
+ * @return True if the response is valid.
+ */
+[[nodiscard]] bool is_valid_response(const response_reader::head_type& head) noexcept;
+
 } // namespace kumquatdrift::internal
 
 #endif
--- a/src/proxy/outbound_request.cpp
+++ b/src/proxy/outbound_request.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/beast/http/verb.hpp>
 
+#include <kumquatdrift/http/message.hpp>
 #include <kumquatdrift/proxy/headers.hpp>
 
 #include "proxy/fields.hpp"
@@ -18,7 +19,6 @@
 namespace {
 
 constexpr std::size_t buffer_bytes = 16 * 1024;
-constexpr unsigned first_final_status = 200;
 constexpr unsigned status_continue = 100;
 
 // Buffer for blocks of a body, one per thread. Clearing 16 KB for each request took 2% of the CPU time of an
@@ -225,7 +225,7 @@
 
 bool outbound_request::has_final_head() const noexcept
 {
-    return this->reader && this->response().result_int() >= first_final_status;
+    return this->reader && this->response().result_int() >= min_final_status;
 }
 
 bool outbound_request::receive_final_head()
@@ -249,11 +249,12 @@
     }
     constexpr unsigned switching_protocols = 101;
     const auto code = this->response().result_int();
-    if (code == switching_protocols || this->is_response_to_another_attempt()) {
+    if (!is_valid_response(this->response()) || code == switching_protocols ||
+        this->is_response_to_another_attempt()) {
         this->fail(hop_end::malformed_answer);
         return false;
     }
-    if (code >= first_final_status) {
+    if (code >= min_final_status) {
         this->observation.end = hop_end::answered;
         this->observation.status = static_cast<std::uint16_t>(code);
         const auto verdict_field =
--- a/tests/gateway/hop_codec.cpp
+++ b/tests/gateway/hop_codec.cpp
@@ -158,5 +158,22 @@
     EXPECT_DOUBLE_EQ(decoded.limit, 6.5);
 }
 
+// Guards against a status that a faulty or older node passes on.
+TEST(hop_result, response_without_a_final_status_is_malformed)
+{
+    for (const unsigned status : {0U, 99U, 100U, 199U, 600U, 999U}) {
+        hop::Answer message{};
+        message.set_end(static_cast<std::uint32_t>(attempt_outcome::answered));
+        message.set_status(status);
+        EXPECT_EQ(decode(message).outcome, attempt_outcome::malformed) << status;
+    }
+    for (const unsigned status : {200U, 599U}) {
+        hop::Answer message{};
+        message.set_end(static_cast<std::uint32_t>(attempt_outcome::answered));
+        message.set_status(status);
+        EXPECT_EQ(decode(message).outcome, attempt_outcome::answered) << status;
+    }
+}
+
 } // namespace
 } // namespace kumquatdrift
--- a/tests/http/message.cpp
+++ b/tests/http/message.cpp
@@ -106,6 +106,26 @@
     EXPECT_EQ(this->feed("\x01\x02invalid\r\n\r\n"), read_progress::failed);
 }
 
+class http_reader_of_status : public http_reader_of_responses,
+                              public testing::WithParamInterface<const char*> {};
+
+// Guards against a status that no client can interpret.
+TEST_P(http_reader_of_status, outside_100_to_599_fails)
+{
+    EXPECT_EQ(this->feed("HTTP/1.1 " + std::string{GetParam()} + " OK\r\nContent-Length: 0\r\n\r\n"),
+              read_progress::failed);
+}
+
+INSTANTIATE_TEST_SUITE_P(codes, http_reader_of_status, testing::Values("000", "001", "099", "600", "999"));
+
+TEST_F(http_reader_of_responses, lowest_and_highest_status_are_parsed)
+{
+    ASSERT_EQ(this->feed("HTTP/1.1 100 X\r\n\r\n"), read_progress::complete);
+    EXPECT_EQ(this->reader.take().status, 100U);
+    ASSERT_EQ(this->feed("HTTP/1.1 599 X\r\nContent-Length: 0\r\n\r\n"), read_progress::complete);
+    EXPECT_EQ(this->reader.take().status, 599U);
+}
+
 TEST(forwarded_fields, hop_by_hop_fields_are_omitted)
 {
     const http_fields fields{{"Connection", "close, X-Hop"}, {"X-Hop", "1"},   {"Keep-Alive", "timeout=5"},
--- a/tests/process/gateway_standins.py
+++ b/tests/process/gateway_standins.py
@@ -4,6 +4,7 @@
 import collections
 import http.server
 import json
+import os
 import socket
 import struct
 import threading
@@ -187,9 +188,11 @@
     """A target that sends heartbeats to the node on its host.
 
     `on_request(handler, attempt)` runs before the default response; it returns True if it has handled the request.
+    `on_head(handler, attempt)` does the same before the body is read.
     """
 
     on_request = None
+    on_head = None
 
     def __init__(self, ip, reports_address, service, slots=4, version="v1"):
         self.instance = "i-%s-%d" % (ip, time.monotonic_ns())
@@ -210,6 +213,8 @@
 
         class Handler(QuietHandler):
             def serve(self):
+                if owner.on_head and owner.on_head(self, self.headers["X-Kumquatdrift-Attempt-Id"]):
+                    return
                 body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
                 if self.path == "/health":
                     self.reply(200 if owner.state == "ready" else 503, b"",
@@ -233,6 +238,17 @@
                     with owner.lock:
                         owner.in_flight -= 1
 
+            def send_raw(self, content, reset=False):
+                """Sends bytes and ends the connection, orderly or with a reset."""
+                self.close_connection = True
+                try:
+                    self.connection.sendall(content)
+                    if reset:
+                        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                        os.close(self.connection.detach())
+                except OSError:
+                    pass  # The node has closed the connection.
+
             def respond(self, attempt, body):
                 self.reply(200, body, [("X-Kumquatdrift-Attempt-Id", attempt),
                                        ("X-Kumquatdrift-Response-Signature", "sig"), *owner.notice])
--- /dev/null
+++ b/tests/proxy/broken_responses.cpp
@@ -0,0 +1,78 @@
+#include <gtest/gtest.h>
+
+#include "proxy/mesh.hpp"
+#include "proxy/raw_target.hpp"
+
+namespace kumquatdrift {
+namespace {
+
+class target_with_broken_response : public mesh_test {
+protected:
+    /*! @brief Starts the nodes with a target at one of them. */
+    void start_with(mesh_node& host, const raw_target& broken)
+    {
+        this->route.deadline = milliseconds{500};
+        this->start();
+        this->add_target(host, "t", broken.address());
+        this->publish();
+    }
+};
+
+/*! @brief Bytes that are no valid response, and the host of the target that sends them. */
+struct broken_case {
+    std::string name{};
+    raw_answer answer{};
+};
+
+std::ostream& operator<<(std::ostream& output, const broken_case& tested)
+{
+    return output << tested.name;
+}
+
+class target_with_malformed_response : public target_with_broken_response,
+                                       public testing::WithParamInterface<broken_case> {
+protected:
+    void check(mesh_node& host)
+    {
+        const raw_target broken{this->GetParam().answer};
+        this->start_with(host, broken);
+        const auto response = this->call("x", "body");
+        EXPECT_EQ(response.status, 502U) << response.head << response.body;
+        EXPECT_EQ(response.verdict(), "may_have_run") << response.head;
+    }
+};
+
+// Guards against a malformed response that the caller gets as an answer.
+TEST_P(target_with_malformed_response, of_peer_node_leads_to_502)
+{
+    this->check(this->peer);
+}
+
+// Guards against the same when the target is on the entry node itself.
+TEST_P(target_with_malformed_response, of_entry_node_leads_to_502)
+{
+    this->check(this->entry);
+}
+
+raw_answer with_status(const std::string& status)
+{
+    return {"HTTP/1.1 " + status + " OK\r\nContent-Length: 0\r\n\r\n", {}};
+}
+
+std::string name_of(const testing::TestParamInfo<broken_case>& tested)
+{
+    return tested.param.name;
+}
+
+INSTANTIATE_TEST_SUITE_P(statuses, target_with_malformed_response,
+                         testing::Values(broken_case{"status_000", with_status("000")},
+                                         broken_case{"status_099", with_status("099")},
+                                         broken_case{"status_600", with_status("600")},
+                                         broken_case{"status_999", with_status("999")},
+                                         broken_case{
+                                             "status_000_before_a_response",
+                                             {"HTTP/1.1 000 X\r\n\r\n" + with_status("200").start, {}}}),
+                         name_of);
+
+} // namespace
+} // namespace kumquatdrift
--- a/tests/proxy/mesh.cpp
+++ b/tests/proxy/mesh.cpp
@@ -82,10 +82,15 @@
 
 bool raw_client::is_closed_within(milliseconds time)
 {
+    const auto give_up = steady_now() + time;
     this->socket.setReceiveTimeout(Poco::Timespan{time.count() * 1'000});
-    std::array<char, 1024> block{};
+    std::array<char, 16 * 1024> block{};
     try {
-        while (this->socket.receiveBytes(block.data(), static_cast<int>(block.size())) > 0) {}
+        while (this->socket.receiveBytes(block.data(), static_cast<int>(block.size())) > 0) {
+            if (steady_now() > give_up) {
+                return false;
+            }
+        }
         return true;
     }
     catch (const Poco::TimeoutException&) {
