Report no orderly close after a failed send in the daemon

Callers of the daemon saw: a target answers a long upload early with a 200 without a length, sends part of its body and resets the connection while the upload is still being sent. The caller got that part as a complete response.

Cause: the kernel reports a reset once. `outbound_request::send` failed with ECONNRESET and went on to read the response. The bytes that had arrived before the reset could still be read, and the read after them returned 0, which `tcp_connection::receive` reported as `closed`: to `message_reader` the end of the body.

Change: a connection remembers that a send has failed, and reports the end of its stream as `failed` from then on. A response that is complete by its length or its last chunk is still relayed. A body that ends with its connection isn't: the kernel's error code tells whether an orderly close came before the reset only on the first send, and the gateway takes no such body either.

--- a/include/kumquatdrift/proxy/tcp_connection.hpp
+++ b/include/kumquatdrift/proxy/tcp_connection.hpp
@@ -56,7 +56,8 @@
      * @brief Receives bytes into the input buffer, which must not be full.
      * @param until Deadline.
      * @param watched Connection whose closure ends the wait; may be null.
-     * @return `ok` if at least one byte was received, or the reason why not.
+     * @return `ok` if at least one byte was received, or the reason why not; not `closed` after a send that
+     *         failed.
      */
     [[nodiscard]] io_status receive(timestamp until, const tcp_connection* watched = nullptr);
 
@@ -151,6 +152,7 @@
     std::size_t begin{};
     std::size_t end{};
     std::uint64_t sent{};
+    bool send_failed{};
 };
 
 } // namespace kumquatdrift
--- a/src/proxy/tcp_connection.cpp
+++ b/src/proxy/tcp_connection.cpp
@@ -72,7 +72,8 @@
     }
     const auto count =
         ::recv(this->descriptor, this->buffer.data() + this->end, this->buffer.size() - this->end, 0);
-    if (count < 0) {
+    // The kernel reports a reset once. After a send that failed, the end of the stream is no orderly close.
+    if (count < 0 || (count == 0 && this->send_failed)) {
         return io_status::failed;
     }
     this->end += static_cast<std::size_t>(count);
@@ -128,6 +129,7 @@
             continue;
         }
         if (errno != EAGAIN && errno != EINTR) {
+            this->send_failed = true;
             return io_status::failed;
         }
         if ((events & POLLIN) != 0 && this->begin != this->end) {
--- a/tests/proxy/broken_responses.cpp
+++ b/tests/proxy/broken_responses.cpp
@@ -1,5 +1,9 @@
 #include <gtest/gtest.h>
 
+#include <thread>
+
+#include <Poco/Exception.h>
+
 #include "proxy/mesh.hpp"
 #include "proxy/raw_target.hpp"
 
@@ -74,5 +78,49 @@
                                              {"HTTP/1.1 000 X\r\n\r\n" + with_status("200").start, {}}}),
                          name_of);
 
+class target_that_answers_an_upload_early : public target_with_broken_response {
+protected:
+    // Each half fits into the buffers of the connection to the target.
+    static constexpr std::size_t body_bytes = 400'000;
+
+    /*! @brief Sends half of an upload, waits until the target has answered, and sends the rest. */
+    client_response upload(mesh_node& host)
+    {
+        const raw_target broken{{"HTTP/1.1 200 OK\r\n\r\npart", {}, raw_ending::reset, milliseconds{100}}};
+        this->start_with(host, broken);
+        const std::string half(body_bytes / 2, 'b');
+        raw_client client{this->entry.proxy->ports().caller};
+        client.send("POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body_bytes) +
+                    "\r\n\r\n" + half);
+        const auto give_up = steady_now() + milliseconds{400};
+        while (broken.answers() == 0 && steady_now() < give_up) {
+            std::this_thread::sleep_for(milliseconds{1});
+        }
+        EXPECT_EQ(broken.answers(), 1U);
+        std::this_thread::sleep_for(milliseconds{20});
+        try {
+            client.send(half);
+        }
+        catch (const Poco::Exception&) {
+            // The node has closed the connection.
+        }
+        return client.receive();
+    }
+};
+
+// Guards against a part of a body that looks complete because a failed send has consumed the reset.
+TEST_F(target_that_answers_an_upload_early, and_resets_at_peer_node_gives_no_complete_response)
+{
+    const auto response = this->upload(this->peer);
+    EXPECT_FALSE(response.status == 200U && response.complete) << response.head << response.body;
+}
+
+// Guards against the same when the target is on the entry node itself.
+TEST_F(target_that_answers_an_upload_early, and_resets_at_entry_node_gives_no_complete_response)
+{
+    const auto response = this->upload(this->entry);
+    EXPECT_FALSE(response.status == 200U && response.complete) << response.head << response.body;
+}
+
 } // namespace
 } // namespace kumquatdrift
--- a/tests/proxy/raw_target.cpp
+++ b/tests/proxy/raw_target.cpp
@@ -60,6 +60,7 @@
             }
             head += byte[0];
         }
+        std::this_thread::sleep_for(this->sent.delay);
         this->answer(socket);
     }
     catch (const Poco::Exception&) {
--- a/tests/proxy/raw_target.hpp
+++ b/tests/proxy/raw_target.hpp
@@ -11,6 +11,8 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 
+#include <kumquatdrift/core/time.hpp>
+
 namespace kumquatdrift {
 
 /*! @brief How a raw target ends the connection after its bytes. */
@@ -24,6 +26,8 @@
     std::string repeated{};
     /*! @brief End of the connection. */
     raw_ending ending{raw_ending::close};
+    /*! @brief Time between the head of the request and the answer. */
+    milliseconds delay{};
 };
 
 /*! @brief Target on a free loopback port that answers the head of each request with fixed bytes. It doesn't
