State a status in the answer of the test of silent links

node_with_silent_peer.request_on_a_silent_link_is_not_given_up_while_the_node_stops failed since: its other node answers with a frame that states an outcome `answered` and no status, which a node no longer takes as a response. A node never sends such a frame, so the test was wrong here.

--- a/tests/gateway/silent_link.cpp
+++ b/tests/gateway/silent_link.cpp
@@ -91,6 +91,7 @@
     EXPECT_FALSE(outcome);
     hop::Frame answer{};
     answer.mutable_answer()->set_id(1);
+    answer.mutable_answer()->set_status(200);
     std::string bytes{};
     append_frame(answer, bytes);
     boost::asio::write(this->raw, boost::asio::buffer(bytes));
