Report no orderly close after a failed send in the gateway

What callers could see: a server sends a response without a length on an idle connection and resets it, and the node uses the connection for the next call before it has read that. The call ended with the part that had arrived as a complete body. With targets the id in the response prevents this; reads of the store and liveness checks have none. The case of the issue, an upload that is answered early by a part and a reset, did not occur in the gateway: there the failed write ends the call.

Cause: `socket_stream::send` dropped the error of its first write and left it to the next read. The kernel reports a reset once, so that read returned the end of the stream as for an orderly close.

Change: the stream remembers the failed write, and states no orderly close from then on; the call ends as `lost`.

--- a/src/gateway/socket_stream.cpp
+++ b/src/gateway/socket_stream.cpp
@@ -195,7 +195,9 @@
         error_code error{};
         const auto count = this->socket.write_some(boost::asio::buffer(bytes.data(), bytes.size()), error);
         if (error && error != boost::asio::error::would_block) {
-            // The next read reports the failure, after all bytes that the peer sent before it.
+            // The kernel reports a reset once: the read after the bytes that arrived before it ends as if the
+            // peer had closed in an orderly way.
+            this->send_failed = true;
             return;
         }
         bytes.remove_prefix(error ? 0 : count);
@@ -258,7 +260,7 @@
     const auto callback = this->on_closed;
     this->close();
     if (callback) {
-        callback(orderly, cause);
+        callback(orderly && !this->send_failed, cause);
     }
 }
 
--- a/src/gateway/socket_stream.hpp
+++ b/src/gateway/socket_stream.hpp
@@ -80,7 +80,8 @@
     /**
      * @brief Begins reading.
      * @param data Receives the input.
-     * @param closed Called once when the peer closes the connection or the connection fails.
+     * @param closed Called once when the peer closes the connection or the connection fails. The close isn't
+     *        orderly after a `send` that failed.
      */
     void start(data_callback data, closed_callback closed);
 
@@ -172,6 +173,7 @@
     bool reading{};
     bool writing{};
     bool closing{};
+    bool send_failed{};
 };
 
 } // namespace kumquatdrift
--- a/tests/gateway/http_client.cpp
+++ b/tests/gateway/http_client.cpp
@@ -109,6 +109,26 @@
     EXPECT_FALSE(this->last_result);
 }
 
+// Guards against a truncated body that looks complete because a failed send has consumed the reset.
+TEST_F(http_client_with_raw_peer, reset_that_a_send_has_consumed_does_not_end_a_body)
+{
+    (void)this->call(std::chrono::seconds{5});
+    this->accept();
+    boost::asio::write(this->peer, boost::asio::buffer(std::string_view{
+                                       "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 0\r\n\r\n"}));
+    EXPECT_TRUE(this->world.run_until([this] { return this->last_result.has_value(); }));
+    this->last_result.reset();
+    // The loop doesn't run between the reset and the next call, which uses the connection again.
+    boost::asio::write(this->peer,
+                       boost::asio::buffer(std::string_view{"HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\npart"}));
+    this->peer.set_option(boost::asio::socket_base::linger{true, 0});
+    this->peer.close();
+    (void)this->call(std::chrono::seconds{5});
+    EXPECT_TRUE(this->world.run_until([this] { return this->last_result.has_value(); }));
+    EXPECT_EQ(this->client.opened(), 1U);
+    EXPECT_EQ(this->last_result->outcome, call_outcome::lost) << this->last_result->response.body;
+}
+
 /*! @brief A response that never ends: bytes at its start, and bytes that repeat until the caller closes. */
 struct endless_response {
     std::string name{};
