Bound responses without end in the daemon

What callers could see: a target sends a body without end, and the daemon relays it past the deadline of the route for as long as the caller keeps reading. The request holds its thread and its slot all the while. A target that sends interim responses without end held them until a read happened to find no bytes after the deadline.

Cause: a read times out only while no byte is there to read, and neither the loop over the body nor the one over interim responses had a bound of its own. Memory isn't concerned: heads and chunk framing end at the input buffer, and a body is relayed in blocks.

Change: the deadline ends the relaying of a body, whatever is left to read. A seventeenth interim response is a malformed response, as it is in the gateway.

--- a/src/proxy/outbound_request.cpp
+++ b/src/proxy/outbound_request.cpp
@@ -254,6 +254,10 @@
         this->fail(hop_end::malformed_answer);
         return false;
     }
+    if (code < min_final_status && ++this->interim_responses > max_interim_responses) {
+        this->fail(hop_end::malformed_answer);
+        return false;
+    }
     if (code >= min_final_status) {
         this->observation.end = hop_end::answered;
         this->observation.status = static_cast<std::uint16_t>(code);
@@ -317,6 +321,10 @@
 {
     auto& buffer = thread_buffer();
     while (!this->reader->is_done()) {
+        // A read doesn't time out while the peer sends faster than the body is relayed.
+        if (steady_now() >= this->request.deadline) {
+            return hop_end::timed_out;
+        }
         const auto read = this->reader->read_body(buffer.data(), buffer.size(), this->io_deadline(),
                                                   &this->request.client.io());
         if (read.status == read_status::end) {
--- a/src/proxy/outbound_request.hpp
+++ b/src/proxy/outbound_request.hpp
@@ -20,6 +20,10 @@
 /*! @brief Maximum size of a response head from a node or target in bytes. */
 inline constexpr std::uint32_t max_response_head_bytes = 16 * 1024;
 
+/*! @brief Maximum number of interim responses before the final one; a peer that sends more may go on without
+ * end. */
+inline constexpr std::uint32_t max_interim_responses = 16;
+
 /*! @brief Size of the input buffer of a connection to a node or target in bytes. */
 inline constexpr std::size_t response_buffer_bytes = max_response_head_bytes + 4 * 1024;
 
@@ -142,6 +146,7 @@
     std::optional<response_reader> reader{};
     std::optional<read_status> body_read_error{};
     std::uint64_t sent_bytes_at_start;
+    std::uint32_t interim_responses{};
     bool is_chunked;
     bool is_request_complete{};
 };
--- a/tests/proxy/broken_responses.cpp
+++ b/tests/proxy/broken_responses.cpp
@@ -78,6 +78,65 @@
                                              {"HTTP/1.1 000 X\r\n\r\n" + with_status("200").start, {}}}),
                          name_of);
 
+std::string repeat(std::string_view unit)
+{
+    constexpr std::size_t block_bytes = 65'536;
+    std::string block;
+    while (block.size() < block_bytes) {
+        block += unit;
+    }
+    return block;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    endless_heads, target_with_malformed_response,
+    testing::Values(broken_case{"endless_line", {"", repeat("x")}},
+                    broken_case{"endless_status_line", {"HTTP/1.1 200 ", repeat("x")}},
+                    broken_case{"endless_field", {"HTTP/1.1 200 OK\r\nA: ", repeat("x")}},
+                    broken_case{"endless_fields", {"HTTP/1.1 200 OK\r\n", repeat("A: b\r\n")}},
+                    broken_case{"endless_interim_responses", {"", repeat("HTTP/1.1 100 Continue\r\n\r\n")}}),
+    name_of);
+
+/*! @brief A target whose response has a body without end. */
+class target_with_endless_body : public target_with_broken_response,
+                                 public testing::WithParamInterface<broken_case> {
+protected:
+    void check(mesh_node& host)
+    {
+        const raw_target broken{this->GetParam().answer};
+        this->start_with(host, broken);
+        raw_client client{this->entry.proxy->ports().caller};
+        client.send(request("x", "body", "Connection: close\r\n"));
+        EXPECT_TRUE(client.is_closed_within(milliseconds{2'000})) << "the deadline of the route is 500 ms";
+    }
+};
+
+// Guards against a body that is relayed after the deadline to a caller that keeps reading.
+TEST_P(target_with_endless_body, of_peer_node_is_cut_at_the_deadline)
+{
+    this->check(this->peer);
+}
+
+// Guards against the same when the target is on the entry node itself.
+TEST_P(target_with_endless_body, of_entry_node_is_cut_at_the_deadline)
+{
+    this->check(this->entry);
+}
+
+const std::string chunked_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    bodies, target_with_endless_body,
+    testing::Values(broken_case{"until_close", {"HTTP/1.1 200 OK\r\n\r\n", repeat("x")}},
+                    broken_case{"great_length",
+                                {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999\r\n\r\n", repeat("x")}},
+                    broken_case{"chunks", {chunked_head, repeat("4\r\nabcd\r\n")}},
+                    broken_case{"chunk_size", {chunked_head, repeat("0")}},
+                    broken_case{"chunk_extension", {chunked_head + "4;a=", repeat("x")}},
+                    broken_case{"chunk_extensions", {chunked_head, repeat("1;a=bbbbbbbb\r\nc\r\n")}},
+                    broken_case{"trailers", {chunked_head + "0\r\n", repeat("A: b\r\n")}}),
+    name_of);
+
 class target_that_answers_an_upload_early : public target_with_broken_response {
 protected:
     // Each half fits into the buffers of the connection to the target.
