Reject responses with an unsupported transfer coding

Callers saw: a target's response with `Transfer-Encoding: gzip`, `gzip, chunked` or `chunked, gzip` came as a 200 with the coded bytes as its body, in the last case with the framing of the chunks, and without the field that names the coding: a body that isn't the target's. `chunked` in an HTTP/1.0 response was decoded, although RFC 9112, 6.1 treats the framing of such a message as faulty.

Cause: Beast decodes `chunked` where it is the last coding, and takes any other coding for none. Both readers then leave the field out, as they do with all hop-by-hop fields. For requests the daemon had a check; for responses there was none.

Change: only the single coding `chunked` in HTTP/1.1 is accepted in a response, in the parser of the gateway and in `is_valid_response` of the daemon. The call ends as malformed: the request may have run, 502.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -52,8 +52,10 @@
         this->message.target = view(target);
     }
 
-    void on_response_impl(int status, boost::beast::string_view reason, int, error_code& error) override
+    void on_response_impl(int status, boost::beast::string_view reason, int version,
+                          error_code& error) override
     {
+        this->is_http_1_1 = version == 11;
         this->message.status = static_cast<unsigned>(status);
         // Beast accepts any three digits.
         if (this->message.status < min_status || this->message.status > max_status) {
@@ -62,9 +64,15 @@
         this->message.reason = view(reason);
     }
 
-    void on_field_impl(http::field, boost::beast::string_view name, boost::beast::string_view value,
-                       error_code&) override
+    void on_field_impl(http::field field, boost::beast::string_view name, boost::beast::string_view value,
+                       error_code& error) override
     {
+        // Beast parses a response with an unknown coding as if the coded bytes were the body.
+        if (!IsRequest && field == http::field::transfer_encoding &&
+            (std::exchange(this->has_coding, true) || !this->is_http_1_1 || !iequals(value, "chunked"))) {
+            error = http::error::bad_transfer_encoding;
+            return;
+        }
         if (!this->is_header_done()) {
             this->message.fields.push_back({std::string{view(name)}, std::string{view(value)}});
         }
@@ -106,6 +114,9 @@
     }
 
     void on_finish_impl(error_code&) override {}
+
+    bool is_http_1_1{};
+    bool has_coding{};
 };
 
 template<typename Parser>
--- a/src/proxy/message_reader.cpp
+++ b/src/proxy/message_reader.cpp
@@ -125,26 +125,32 @@
 template class message_reader<true>;
 template class message_reader<false>;
 
+namespace {
+
+// Checks for no transfer coding other than `chunked` (HTTP/1.0: none). Beast parses a request with an unknown
+// coding as one without a body, so that the bytes of its body would be read as the next request. It parses a
+// response with an unknown coding as if the coded bytes were the body.
+bool has_supported_coding(const http::fields& fields, unsigned version)
+{
+    constexpr unsigned http_1_1 = 11;
+    const auto coding_fields = fields.count(http::field::transfer_encoding);
+    return coding_fields == 0 || (coding_fields == 1 && version == http_1_1 &&
+                                  boost::beast::iequals(fields[http::field::transfer_encoding], "chunked"));
+}
+
+} // namespace
+
 bool is_valid_request(const request_reader::head_type& head)
 {
     const auto hosts = head.count(http::field::host);
     const auto is_http_1_1 = head.version() == 11;
-    if (hosts > 1 || (is_http_1_1 && hosts == 0)) {
-        return false;
-    }
-    const auto coding_fields = head.count(http::field::transfer_encoding);
-    if (coding_fields == 0) {
-        return true;
-    }
-    // Beast parses a request with an unknown coding as one without a body, so that the bytes of its body
-    // would be read as the next request.
-    const auto coding = head[http::field::transfer_encoding];
-    return coding_fields == 1 && is_http_1_1 && boost::beast::iequals(coding, "chunked");
+    return hosts <= 1 && (hosts == 1 || !is_http_1_1) && has_supported_coding(head, head.version());
 }
 
-bool is_valid_response(const response_reader::head_type& head) noexcept
+bool is_valid_response(const response_reader::head_type& head)
 {
-    return head.result_int() >= min_status && head.result_int() <= max_status;
+    return head.result_int() >= min_status && head.result_int() <= max_status &&
+           has_supported_coding(head, head.version());
 }
 
 } // namespace kumquatdrift::internal
--- a/src/proxy/message_reader.hpp
+++ b/src/proxy/message_reader.hpp
@@ -148,11 +148,12 @@
 [[nodiscard]] bool is_valid_request(const request_reader::head_type& head);
 
 /**
- * @brief Checks what Beast does not: a status code from 100 to 599 (RFC 9110, 15).
+ * @brief Checks what Beast does not: a status code from 100 to 599 (RFC 9110, 15), and no transfer coding
+ * other than `chunked` (HTTP/1.0: none).
  * @param head Head of the response.
  * @return True if the response is valid.
  */
-[[nodiscard]] bool is_valid_response(const response_reader::head_type& head) noexcept;
+[[nodiscard]] bool is_valid_response(const response_reader::head_type& head);
 
 } // namespace kumquatdrift::internal
 
--- a/tests/http/message.cpp
+++ b/tests/http/message.cpp
@@ -118,6 +118,33 @@
 
 INSTANTIATE_TEST_SUITE_P(codes, http_reader_of_status, testing::Values("000", "001", "099", "600", "999"));
 
+class http_reader_of_coding : public http_reader_of_responses,
+                              public testing::WithParamInterface<const char*> {};
+
+// Guards against a body that is passed on coded, or with the framing of its chunks.
+TEST_P(http_reader_of_coding, other_than_chunked_in_http_1_1_fails)
+{
+    EXPECT_EQ(this->feed(std::string{GetParam()} + "\r\n\r\n2\r\nok\r\n0\r\n\r\n"), read_progress::failed);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    heads, http_reader_of_coding,
+    testing::Values("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, gzip",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                    "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked"));
+
+TEST_F(http_reader_of_responses, coding_in_capitals_is_parsed)
+{
+    ASSERT_EQ(this->feed("HTTP/1.1 200 OK\r\ntransfer-encoding: CHUNKED\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+              read_progress::complete);
+    EXPECT_EQ(this->reader.take().body, "ok");
+}
+
 TEST_F(http_reader_of_responses, lowest_and_highest_status_are_parsed)
 {
     ASSERT_EQ(this->feed("HTTP/1.1 100 X\r\n\r\n"), read_progress::complete);
--- a/tests/process/broken_answers_test.py
+++ b/tests/process/broken_answers_test.py
@@ -9,6 +9,10 @@
 
 from gateway_test import GatewayTest  # noqa: E402
 
+CHUNKS = b"2\r\nok\r\n0\r\n\r\n"
+# Each one is (version, names of the codings, body).
+CODINGS = [("1.1", ["gzip"], b"coded"), ("1.1", ["gzip, chunked"], CHUNKS), ("1.1", ["chunked, gzip"], CHUNKS),
+           ("1.1", ["gzip", "chunked"], CHUNKS), ("1.0", ["chunked"], CHUNKS)]
 STATUSES = ["000", "001", "099", "600", "999"]
 
 
@@ -40,6 +44,13 @@
             with self.subTest(status):
                 self.assert_no_answer(lambda attempt: answer(attempt, start=b"HTTP/1.1 %s OK" % status.encode()))
 
+    def test_answer_with_an_unsupported_transfer_coding_leads_to_502(self):
+        for version, codings, body in CODINGS:
+            with self.subTest((version, codings)):
+                self.assert_no_answer(lambda attempt: answer(
+                    attempt, start=b"HTTP/%s 200 OK" % version.encode(), body=body, length=None,
+                    fields=[b"Transfer-Encoding: " + coding.encode() for coding in codings]))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/proxy/broken_responses.cpp
+++ b/tests/proxy/broken_responses.cpp
@@ -63,6 +63,11 @@
     return {"HTTP/1.1 " + status + " OK\r\nContent-Length: 0\r\n\r\n", {}};
 }
 
+raw_answer with_framing(const std::string& fields, const std::string& body)
+{
+    return {"HTTP/1.1 200 OK\r\n" + fields + "\r\n" + body, {}};
+}
+
 std::string name_of(const testing::TestParamInfo<broken_case>& tested)
 {
     return tested.param.name;
@@ -78,6 +83,22 @@
                                              {"HTTP/1.1 000 X\r\n\r\n" + with_status("200").start, {}}}),
                          name_of);
 
+INSTANTIATE_TEST_SUITE_P(
+    codings, target_with_malformed_response,
+    testing::Values(broken_case{"unknown_coding", with_framing("Transfer-Encoding: gzip\r\n", "coded")},
+                    broken_case{"coding_before_chunked",
+                                with_framing("Transfer-Encoding: gzip, chunked\r\n", "2\r\nok\r\n0\r\n\r\n")},
+                    broken_case{"coding_after_chunked",
+                                with_framing("Transfer-Encoding: chunked, gzip\r\n", "2\r\nok\r\n0\r\n\r\n")},
+                    broken_case{"two_fields",
+                                with_framing("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+                                             "2\r\nok\r\n0\r\n\r\n")},
+                    broken_case{"chunked_in_http_1_0",
+                                {"HTTP/1.0 200 OK\r\nTransfer-Encoding: "
+                                 "chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+                                 {}}}),
+    name_of);
+
 std::string repeat(std::string_view unit)
 {
     constexpr std::size_t block_bytes = 65'536;
