Reject responses that echo ids of several requests

Callers saw: a target's response with two id fields, the first with the id of the request and the second with that of another request, was passed on with both. With the fields in the other order the gateway skipped the response and waited on.

Cause: the gateway and the daemon looked at the first field of that name only.

Change: all fields of that name are compared. A response to this request and to another one is malformed: 502, and only idempotent requests are sent again. The gateway still skips a response that echoes only other ids, because the right one may follow; one that repeats the right id is accepted.

--- a/src/gateway/http_client.cpp
+++ b/src/gateway/http_client.cpp
@@ -20,6 +20,9 @@
  * call; a server that sends more may go on without end. */
 constexpr std::uint32_t max_skipped_responses = 16;
 
+/*! @brief Cause of a call that ends because its response echoes ids of several requests. */
+constexpr const char* contradictory_ids_cause = "ids of several requests";
+
 /*! @brief Returns the timeout in the `Keep-Alive` header, if there is one. */
 std::optional<microseconds> keep_alive_timeout(const http_message& response)
 {
@@ -136,11 +139,30 @@
     call.buffered = bytes;
 }
 
-bool http_client::is_certain(const active_call& call, const std::string* echoed_id) noexcept
+http_client::echoed_id http_client::find_echoed_id(const active_call& call, const http_message& response)
+{
+    if (call.request.id_field.empty()) {
+        return echoed_id::none;
+    }
+    auto found = echoed_id::none;
+    for (const auto& field : response.fields) {
+        if (!equals_ignore_case(field.name, call.request.id_field)) {
+            continue;
+        }
+        const auto current = field.value == call.request.id ? echoed_id::own : echoed_id::other;
+        if (found != echoed_id::none && found != current) {
+            return echoed_id::contradictory;
+        }
+        found = current;
+    }
+    return found;
+}
+
+bool http_client::is_certain(const active_call& call, echoed_id echoed) noexcept
 {
     // Without an id, bytes on a connection that was used before may belong to an earlier request.
-    return echoed_id != nullptr ? *echoed_id == call.request.id
-                                : call.connection_is_new && !call.discarded_response;
+    return echoed == echoed_id::own ||
+           (echoed == echoed_id::none && call.connection_is_new && !call.discarded_response);
 }
 
 void http_client::on_response(std::uint64_t id, std::string& buffer)
@@ -149,9 +171,12 @@
     auto response = call.reader.take();
     call.reader.reset(call.request.no_body);
     const auto is_interim = response.status >= 100 && response.status < 200;
-    const auto* echoed_id =
-        call.request.id_field.empty() ? nullptr : find_field(response.fields, call.request.id_field);
-    const auto is_foreign = echoed_id != nullptr && *echoed_id != call.request.id;
+    const auto echoed = find_echoed_id(call, response);
+    if (echoed == echoed_id::contradictory) {
+        this->finish(id, call_outcome::malformed, {}, contradictory_ids_cause, false);
+        return;
+    }
+    const auto is_foreign = echoed == echoed_id::other;
     if (is_interim || is_foreign) {
         call.discarded_response = call.discarded_response || is_foreign;
         if (++call.skipped_responses > max_skipped_responses) {
@@ -161,10 +186,10 @@
     }
     const auto request_sent = call.connection->unsent() == 0;
     // A second copy of a response without id could not be told from the response to the next call.
-    const auto identified = call.request.id_field.empty() || echoed_id != nullptr;
+    const auto identified = call.request.id_field.empty() || echoed == echoed_id::own;
     const auto reusable =
         response.keep_alive && request_sent && buffer.empty() && identified && !call.discarded_response;
-    const auto certain = is_certain(call, echoed_id);
+    const auto certain = is_certain(call, echoed);
     this->finish(id, call_outcome::answered, std::move(response), "", reusable, certain);
 }
 
@@ -173,10 +198,13 @@
     auto& call = this->calls.at(id);
     if (orderly && call.reader.header_complete() && call.reader.end_of_stream() == read_progress::complete) {
         auto response = call.reader.take();
-        const auto* echoed_id =
-            call.request.id_field.empty() ? nullptr : find_field(response.fields, call.request.id_field);
-        if (echoed_id == nullptr || *echoed_id == call.request.id) {
-            const auto certain = is_certain(call, echoed_id);
+        const auto echoed = find_echoed_id(call, response);
+        if (echoed == echoed_id::contradictory) {
+            this->finish(id, call_outcome::malformed, {}, contradictory_ids_cause, false);
+            return;
+        }
+        if (echoed != echoed_id::other) {
+            const auto certain = is_certain(call, echoed);
             this->finish(id, call_outcome::answered, std::move(response), "", false, certain);
             return;
         }
--- a/src/gateway/http_client.hpp
+++ b/src/gateway/http_client.hpp
@@ -162,6 +162,9 @@
         /*! @brief Generation of the client when the call began. */
         std::uint64_t generation{};
     };
+    /*! @brief What the id fields of a response say: there is none, all have the id of the call, all have
+     * other ids, or some of each. */
+    enum class echoed_id : std::uint8_t { none, own, other, contradictory };
     struct idle_connection {
         socket_stream::pointer connection{};
         timestamp since{};
@@ -175,7 +178,8 @@
     void set_buffered(active_call& call, std::size_t bytes) noexcept;
     void on_response(std::uint64_t id, std::string& buffer);
     void on_closed(std::uint64_t id, bool orderly, const std::string& cause);
-    [[nodiscard]] static bool is_certain(const active_call& call, const std::string* echoed_id) noexcept;
+    [[nodiscard]] static echoed_id find_echoed_id(const active_call& call, const http_message& response);
+    [[nodiscard]] static bool is_certain(const active_call& call, echoed_id echoed) noexcept;
     void finish(std::uint64_t id, call_outcome outcome, http_message response, std::string cause,
                 bool reusable, bool is_certain = false);
     void retain(const socket_stream::pointer& connection, const http_message& response);
--- a/src/proxy/outbound_request.cpp
+++ b/src/proxy/outbound_request.cpp
@@ -273,8 +273,11 @@
 
 bool outbound_request::is_response_to_another_attempt() const
 {
-    const auto number = field_of(this->response(), attempt_header);
-    return !this->attempt.empty() && !number.empty() && number != this->attempt;
+    const auto numbers =
+        this->response().equal_range(boost::beast::string_view{attempt_header.data(), attempt_header.size()});
+    return !this->attempt.empty() && std::any_of(numbers.first, numbers.second, [this](const auto& field) {
+        return !field.value().empty() && field.value() != this->attempt;
+    });
 }
 
 response_head outbound_request::make_relayed_head(std::string_view extra_fields) const
--- a/tests/gateway/http_client.cpp
+++ b/tests/gateway/http_client.cpp
@@ -129,6 +129,26 @@
     EXPECT_EQ(this->last_result->outcome, call_outcome::lost) << this->last_result->response.body;
 }
 
+// Guards against a response of another request that also echoes the id of this one.
+TEST_F(http_client_with_raw_peer, response_with_two_ids_is_malformed)
+{
+    for (const std::string ids : {"X-Id: r1\r\nX-Id: r2\r\n", "X-Id: r2\r\nX-Id: r1\r\n"}) {
+        for (const std::string framing : {"Content-Length: 2\r\n\r\nok", "\r\nok"}) {
+            this->last_result.reset();
+            this->client.close_idle();
+            (void)this->call(std::chrono::seconds{5});
+            this->accept();
+            // Unread bytes would turn the close into a reset.
+            std::array<char, 256> request{};
+            (void)this->peer.read_some(boost::asio::buffer(request));
+            boost::asio::write(this->peer, boost::asio::buffer("HTTP/1.1 200 OK\r\n" + ids + framing));
+            this->peer.close();
+            ASSERT_TRUE(this->world.run_until([this] { return this->last_result.has_value(); }));
+            EXPECT_EQ(this->last_result->outcome, call_outcome::malformed) << ids << framing;
+        }
+    }
+}
+
 /*! @brief A response that never ends: bytes at its start, and bytes that repeat until the caller closes. */
 struct endless_response {
     std::string name{};
--- a/tests/process/broken_answers_test.py
+++ b/tests/process/broken_answers_test.py
@@ -51,6 +51,11 @@
                     attempt, start=b"HTTP/%s 200 OK" % version.encode(), body=body, length=None,
                     fields=[b"Transfer-Encoding: " + coding.encode() for coding in codings]))
 
+    def test_answer_with_ids_of_two_requests_leads_to_502(self):
+        other = b"X-Kumquatdrift-Attempt-Id: another"
+        self.assert_no_answer(lambda attempt: answer(attempt, fields=[other]))
+        self.assert_no_answer(lambda attempt: answer(attempt, start=b"HTTP/1.1 200 OK\r\n" + other))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/proxy/failures.cpp
+++ b/tests/proxy/failures.cpp
@@ -54,12 +54,13 @@
 
 INSTANTIATE_TEST_SUITE_P(
     proxy, target_failure,
-    testing::Values(failure_case{"reset_before_body", behaviour::reset_before_body, 502, "may_have_run", 0},
-                    failure_case{"reset_before_response", behaviour::reset_before_response, 502,
-                                 "may_have_run", 1},
-                    failure_case{"reset_inside_head", behaviour::reset_inside_head, 502, "may_have_run", 1},
-                    failure_case{"malformed", behaviour::malformed, 502, "may_have_run", 1},
-                    failure_case{"timeout_in_run", behaviour::hang, 504, "may_have_run", 1}),
+    testing::Values(
+        failure_case{"reset_before_body", behaviour::reset_before_body, 502, "may_have_run", 0},
+        failure_case{"reset_before_response", behaviour::reset_before_response, 502, "may_have_run", 1},
+        failure_case{"reset_inside_head", behaviour::reset_inside_head, 502, "may_have_run", 1},
+        failure_case{"response_to_two_attempts", behaviour::respond_to_two_attempts, 502, "may_have_run", 1},
+        failure_case{"malformed", behaviour::malformed, 502, "may_have_run", 1},
+        failure_case{"timeout_in_run", behaviour::hang, 504, "may_have_run", 1}),
     [](const auto& tested) { return tested.param.name; });
 
 class proxy_failure : public mesh_test {
--- a/tests/proxy/fake_target.cpp
+++ b/tests/proxy/fake_target.cpp
@@ -267,6 +267,13 @@
         send(socket, std::exchange(previous, response) + response);
         return true;
     }
+    if (selected == behaviour::respond_to_two_attempts) {
+        const std::string name{"x-kumquatdrift-attempt: "};
+        send(socket, response_with_length(text, text.size(),
+                                          name + field_in(head, "x-kumquatdrift-attempt") + "\r\n" + name +
+                                              "another\r\n"));
+        return true;
+    }
     if (selected == behaviour::repeat_refusal) {
         send(socket, previous);
     }
--- a/tests/proxy/fake_target.hpp
+++ b/tests/proxy/fake_target.hpp
@@ -38,6 +38,7 @@
     hint_before_body,
     repeat_previous_response,
     repeat_refusal,
+    respond_to_two_attempts,
 };
 
 /*! @brief HTTP target on a free loopback port. Fails as configured and counts the runs of each request id. */
