Read responses of the log service with the strict parser

What could be seen: the client of the log service, which the daemon and kumquatdriftctl use, took broken responses for complete ones. Names of fields with a blank or a control byte, a chunked body without its last chunk and an unknown transfer coding made an append count as run. A head that ended before its blank line with a status of 503 made it count as not run, so that its caller may append once more. Interim responses or a chunk extension without end kept the thread for as long as bytes arrived.

Cause: POCO's message streams are lenient in all of this; the proxy does not use them for that reason.

Change: the client reads with `http_reader`, as the gateway does, with the same limit of 16 interim responses and a deadline for the head; the one for the body was there. After a send that failed, the end of the stream completes no body. Reads of the log were safe in practice, since a part of a JSON document is none.

--- a/src/log/http_client.cpp
+++ b/src/log/http_client.cpp
@@ -1,27 +1,27 @@
 #include "http_client.hpp"
 
+#include <algorithm>
 #include <array>
-#include <istream>
-#include <ostream>
+#include <cstdint>
+#include <string_view>
 #include <utility>
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/IPAddress.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/Net/StreamSocket.h>
 #include <Poco/NumberParser.h>
 
+#include <kumquatdrift/http/message.hpp>
+
 namespace kumquatdrift::internal {
 
 namespace {
 
-using Poco::Net::HTTPClientSession;
-
-/*! @brief Longer than any process runs, because the pool decides on reuse and a session must not reconnect by
- * itself. */
-const Poco::Timespan session_keep_alive{365, 0, 0, 0, 0};
+/*! @brief Maximum size of a response head in bytes. */
+constexpr std::size_t max_head_bytes = 65'536;
+/*! @brief Maximum number of interim responses before the final one; a service that sends more may go on
+ * without end. */
+constexpr std::uint32_t max_interim_responses = 16;
 
 Poco::Timespan to_timespan(milliseconds duration)
 {
@@ -72,10 +72,13 @@
         outcome.reused = idle_connection.has_value();
         auto used_connection = idle_connection ? std::move(*idle_connection) : this->connect();
         outcome.effect = verdict::may_have_run;
-        bool keep_alive{};
-        outcome.response = this->exchange(*used_connection.session, request, keep_alive);
+        this->send_request(used_connection, request);
+        auto message = this->receive_response(used_connection, request.wait);
+        const auto* const retry_after = find_field(message.fields, "Retry-After");
+        outcome.response = {static_cast<int>(message.status), retry_after != nullptr ? *retry_after : "",
+                            std::move(message.body)};
         outcome.effect = verdict::ran;
-        if (keep_alive) {
+        if (message.keep_alive && !used_connection.send_failed && used_connection.input.empty()) {
             this->return_to_pool(std::move(used_connection));
         }
     }
@@ -109,8 +112,7 @@
         this->idle.pop_back();
         const auto reusable = steady_now() - candidate.last_used < this->limits.idle_timeout;
         // An idle connection with readable data has been closed by the service.
-        if (reusable &&
-            !candidate.session->socket().poll(Poco::Timespan{0}, Poco::Net::Socket::SELECT_READ)) {
+        if (reusable && !candidate.socket.poll(Poco::Timespan{0}, Poco::Net::Socket::SELECT_READ)) {
             return candidate;
         }
     }
@@ -119,13 +121,10 @@
 
 http_client::connection http_client::connect() const
 {
-    Poco::Net::StreamSocket socket;
-    socket.connect(this->address, to_timespan(this->limits.connect_timeout));
-    socket.setNoDelay(true);
-    auto session = std::make_unique<HTTPClientSession>(socket);
-    session->setKeepAlive(true);
-    session->setKeepAliveTimeout(session_keep_alive);
-    return {std::move(session), steady_now()};
+    connection opened;
+    opened.socket.connect(this->address, to_timespan(this->limits.connect_timeout));
+    opened.socket.setNoDelay(true);
+    return opened;
 }
 
 void http_client::return_to_pool(connection idle_connection)
@@ -137,53 +136,73 @@
     }
 }
 
-http_response http_client::exchange(HTTPClientSession& session, const http_request& request,
-                                    bool& keep_alive) const
+void http_client::send_request(connection& used, const http_request& request) const
 {
-    const auto receive_timeout = request.wait + this->limits.response_timeout;
-    session.socket().setSendTimeout(to_timespan(this->limits.response_timeout));
-    session.socket().setReceiveTimeout(to_timespan(receive_timeout));
-    Poco::Net::HTTPRequest request_head{request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1};
-    request_head.setHost(this->address.toString());
-    request_head.setKeepAlive(true);
-    if (request.method == Poco::Net::HTTPRequest::HTTP_POST) {
-        request_head.setContentType("text/plain; charset=utf-8");
-        request_head.setContentLength64(static_cast<Poco::Int64>(request.body.size()));
+    auto lines = "Host: " + this->address.toString() + "\r\n";
+    if (request.method == "POST") {
+        lines += "Content-Type: text/plain; charset=utf-8\r\n";
+    }
+    const auto bytes = serialize_request(request.method, request.path, lines, request.body);
+    used.socket.setSendTimeout(to_timespan(this->limits.response_timeout));
+    std::string_view unsent{bytes};
+    try {
+        while (!unsent.empty()) {
+            const auto count = used.socket.sendBytes(unsent.data(), static_cast<int>(unsent.size()));
+            unsent.remove_prefix(static_cast<std::size_t>(std::max(count, 0)));
+        }
     }
-    session.sendRequest(request_head) << request.body << std::flush;
-    Poco::Net::HTTPResponse response_head;
-    auto& stream = session.receiveResponse(response_head);
-    http_response response;
-    response.status = response_head.getStatus();
-    response.retry_after = response_head.get("Retry-After", "");
-    response.body = this->read_body(stream, steady_now() + this->limits.response_timeout);
-    const auto length = response_head.getContentLength64();
-    if (length >= 0 && static_cast<std::size_t>(length) != response.body.size()) {
-        throw Poco::Net::MessageException{"the answer is truncated"};
+    catch (const Poco::Net::NetException&) {
+        // The service may have responded before it closed the connection.
+        used.send_failed = true;
     }
-    keep_alive = response_head.getKeepAlive();
-    return response;
 }
 
-std::string http_client::read_body(std::istream& stream, timestamp deadline) const
+http_message http_client::receive_response(connection& used, milliseconds wait) const
 {
-    constexpr std::size_t chunk_bytes = 16 * 1024;
-    std::array<char, chunk_bytes> chunk{};
-    std::string body;
-    do {
-        stream.read(chunk.data(), chunk.size());
-        body.append(chunk.data(), static_cast<std::size_t>(stream.gcount()));
-        if (body.size() > this->limits.max_response_bytes) {
-            throw Poco::Net::MessageException{"the answer is too large"};
+    http_reader reader{http_reader::kind::response, max_head_bytes, this->limits.max_response_bytes};
+    auto deadline = steady_now() + wait + this->limits.response_timeout;
+    auto in_body = false;
+    for (auto interim_responses = 0U; interim_responses <= max_interim_responses;) {
+        switch (reader.feed(used.input)) {
+        case read_progress::complete: {
+            auto message = reader.take();
+            if (message.status >= min_final_status) {
+                return message;
+            }
+            ++interim_responses;
+            break;
         }
-        if (stream.good() && steady_now() > deadline) {
-            throw Poco::TimeoutException{"the answer takes too long"};
+        case read_progress::failed:
+            throw Poco::Net::MessageException{"the answer is malformed", reader.failure_reason()};
+        case read_progress::need_more:
+            if (reader.header_complete() && !std::exchange(in_body, true)) {
+                deadline = steady_now() + this->limits.response_timeout;
+            }
+            if (!receive(used, deadline)) {
+                // The kernel reports a reset once. After a send that failed, the end is no orderly close.
+                if (used.send_failed || reader.end_of_stream() != read_progress::complete) {
+                    throw Poco::Net::MessageException{"the answer is truncated"};
+                }
+                return reader.take();
+            }
+            break;
         }
-    } while (stream.good());
-    if (stream.bad()) {
-        throw Poco::Net::MessageException{"the connection failed while reading the answer"};
     }
-    return body;
+    throw Poco::Net::MessageException{"the answer has too many interim responses"};
+}
+
+bool http_client::receive(connection& used, timestamp deadline)
+{
+    const auto left = std::chrono::ceil<milliseconds>(deadline - steady_now());
+    if (left <= milliseconds{0}) {
+        throw Poco::TimeoutException{"the answer takes too long"};
+    }
+    constexpr std::size_t block_bytes = 16 * 1024;
+    std::array<char, block_bytes> block{};
+    used.socket.setReceiveTimeout(to_timespan(left));
+    const auto count = used.socket.receiveBytes(block.data(), static_cast<int>(block.size()));
+    used.input.append(block.data(), static_cast<std::size_t>(std::max(count, 0)));
+    return count > 0;
 }
 
 } // namespace kumquatdrift::internal
--- a/src/log/http_client.hpp
+++ b/src/log/http_client.hpp
@@ -2,19 +2,24 @@
 #define KUMQUATDRIFT_SRC_LOG_HTTP_CLIENT_HPP
 
 #include <cstddef>
-#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
 
 #include <kumquatdrift/core/result.hpp>
 #include <kumquatdrift/core/time.hpp>
 #include <kumquatdrift/core/verdict.hpp>
 
+namespace kumquatdrift {
+
+struct http_message;
+
+} // namespace kumquatdrift
+
 namespace kumquatdrift::internal {
 
 /*! @brief HTTP response, with its complete body. */
@@ -57,8 +62,7 @@
 struct http_client_limits {
     /*! @brief Longest time to establish a connection. */
     milliseconds connect_timeout{1'000};
-    /*! @brief Longest time without progress of a response. The body must be complete within this time after
-     * the head. */
+    /*! @brief Longest time until the head of a response is complete, and again until its body is. */
     milliseconds response_timeout{3'000};
     /*! @brief Largest number of idle connections kept open. */
     std::size_t max_idle_connections{4};
@@ -102,16 +106,21 @@
 
 private:
     struct connection {
-        std::unique_ptr<Poco::Net::HTTPClientSession> session{};
+        Poco::Net::StreamSocket socket{};
         timestamp last_used{};
+        /*! @brief Received bytes that have not been parsed. */
+        std::string input{};
+        bool send_failed{};
     };
 
     [[nodiscard]] std::optional<connection> take_idle();
     [[nodiscard]] connection connect() const;
     void return_to_pool(connection idle_connection);
-    [[nodiscard]] http_response exchange(Poco::Net::HTTPClientSession& session, const http_request& request,
-                                         bool& keep_alive) const;
-    [[nodiscard]] std::string read_body(std::istream& stream, timestamp deadline) const;
+    void send_request(connection& used, const http_request& request) const;
+    // Throws a Poco::Exception if there is no complete and valid response.
+    [[nodiscard]] http_message receive_response(connection& used, milliseconds wait) const;
+    // Returns false at the end of the stream.
+    [[nodiscard]] static bool receive(connection& used, timestamp deadline);
 
     Poco::Net::SocketAddress address;
     http_client_limits limits;
