Describe the deadline for the head of a response of the log service

The setting bounded the time without progress; since the responses are read with the strict parser it bounds the time until the head is complete, and again until the body is.

--- a/include/kumquatdrift/log/http.hpp
+++ b/include/kumquatdrift/log/http.hpp
@@ -16,8 +16,8 @@
     std::string url{};
     /*! @brief Longest time to establish a connection. */
     milliseconds connect_timeout{1'000};
-    /*! @brief Longest time without progress of a response, in addition to the wait of a long poll. The body
-     * must be complete within this time after the head. */
+    /*! @brief Longest time until the head of a response is complete, in addition to the wait of a long poll,
+     * and again until its body is. */
     milliseconds response_timeout{2'000};
     /*! @brief Largest number of idle connections kept open for reuse. */
     std::size_t max_idle_connections{4};
--- a/tests/log/broken_responses.cpp
+++ b/tests/log/broken_responses.cpp
@@ -31,7 +31,7 @@
 protected:
     static constexpr milliseconds response_timeout{300};
 
-    ~log_with_broken_response() override
+    void TearDown() override
     {
         this->server.join();
     }
