Reject what waits at a target's node before that node ends

Callers saw: in a planned stop of one machine, requests of other nodes that waited there for a slot of the target were cut when the process ended. Their entry nodes answered 502, which promises nothing, for requests that had not run. A request that may not be repeated is lost by that.

Cause: a node that stops refuses new requests of other nodes after 0.5 s, and limits those of its own callers to its end. Requests that other nodes had queued before kept the deadlines of their callers, and nothing ended them before the process did.

Change: the queue of the target knows the end of the process. A queued request that isn't expected to finish 150 ms before is rejected as not run, so that its entry node offers it elsewhere or answers 503 with Retry-After.

--- a/include/kumquatdrift/traffic/run_queue.hpp
+++ b/include/kumquatdrift/traffic/run_queue.hpp
@@ -89,6 +89,16 @@
         this->slots = count;
     }
 
+    /**
+     * @brief Sets the time by which requests have to finish, because this process ends. Queued requests that
+     *        are not expected to finish by then are rejected.
+     * @param time Time of the end.
+     */
+    void set_end(timestamp time) noexcept
+    {
+        this->end = time;
+    }
+
     /**
      * @brief Records how slow the target states to be at this moment.
      * @param stated Time that work takes there, relative to a usual host; ignored unless above 0.
@@ -223,6 +233,7 @@
     void erase(std::uint64_t id);
 
     std::uint32_t slots{};
+    timestamp end{timestamp::max()};
     target_limit rate_limit{};
     microseconds mean_service_time{};
     /*! @brief Ratio of the service time to the mean over all targets, when it was last observed. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -302,12 +302,7 @@
             if (error) {
                 return;
             }
-            if (number == SIGHUP) {
-                this->reload("signal");
-            }
-            else {
-                this->begin_shutdown();
-            }
+            number == SIGHUP ? this->reload("signal") : this->begin_shutdown();
             this->wait_for_signal();
         });
     }
@@ -323,7 +318,9 @@
                         this->local_target.in_flight());
         this->caller_server.start_draining();
         this->peer_nodes.keep_silent_links();
-        this->router.set_end(*this->stopping_since + this->settings.grace - margin_before_kill);
+        const auto end = *this->stopping_since + this->settings.grace - margin_before_kill;
+        this->router.set_end(end);
+        this->local_target.set_end(end);
         this->peer_nodes.broadcast_state();
         this->loop.call_at(*this->stopping_since + serve_peers_after_stop,
                            [this] { this->peer_nodes.reject_requests(); });
--- a/src/gateway/target_host.cpp
+++ b/src/gateway/target_host.cpp
@@ -29,6 +29,9 @@
 /*! @brief Report intervals without a report or a response after which the target is unavailable. Its next
  *         report makes it available again, in case it was only late. */
 constexpr double max_silent_intervals = 1.6;
+/*! @brief Time before the end of this process by which requests have to finish. It covers the interval at
+ * which the queue is checked, and the way of a refusal to another node. */
+constexpr microseconds end_margin{150'000};
 /*! @brief Maximum time between a lost connection and the detection of the crash to which it is attributed. */
 constexpr microseconds crash_window{2'000'000};
 
@@ -73,6 +76,11 @@
     }
 }
 
+void target_host::set_end(timestamp end) noexcept
+{
+    this->queue.set_end(end - end_margin);
+}
+
 std::string target_host::rejection_cause(const target_request& request) const
 {
     if (this->current.state != report_state::ready) {
--- a/src/gateway/target_host.hpp
+++ b/src/gateway/target_host.hpp
@@ -107,6 +107,13 @@
      */
     std::uint64_t run(const target_request_ptr& request, attempt_callback done);
 
+    /**
+     * @brief Sets the time at which this process ends. Queued requests that are not expected to finish before
+     *        are rejected in time for the refusals to reach their entry nodes.
+     * @param end Time of the end.
+     */
+    void set_end(timestamp end) noexcept;
+
     /**
      * @brief Cancels a queued or running request; the connection of a running one is reset.
      * @param id Id returned by `run`; an unknown id is ignored.
--- a/src/traffic/run_queue.cpp
+++ b/src/traffic/run_queue.cpp
@@ -193,7 +193,8 @@
     if (this->rate_limit.rate()) {
         service = std::max(service, limited_start_margin);
     }
-    return now + wait + service <= useful_until(request, now) && now + wait <= request.start_by;
+    return now + wait + service <= std::min(useful_until(request, now), this->end) &&
+           now + wait <= request.start_by;
 }
 
 std::size_t run_queue::count_starts_before(const run_request& request) const
--- a/tests/traffic/run_queue.cpp
+++ b/tests/traffic/run_queue.cpp
@@ -57,6 +57,19 @@
     EXPECT_EQ(this->queue.offer(request, start), run_decision::reject);
 }
 
+// Guards against a queued request that is cut off when the process ends.
+TEST_F(queue_of_two_slots, queued_request_that_cannot_finish_before_the_end_is_rejected)
+{
+    this->fill_slots();
+    EXPECT_EQ(this->queue.offer(request_of(3, 1, milliseconds{500}, milliseconds{900}), start),
+              run_decision::queue);
+    this->queue.set_end(start + milliseconds{200});
+    EXPECT_EQ(this->queue.offer(request_of(4, 1, milliseconds{500}, milliseconds{900}), start),
+              run_decision::reject);
+    EXPECT_TRUE(this->queue.expire(start).empty());
+    EXPECT_EQ(this->queue.expire(start + milliseconds{60}), std::vector<std::uint64_t>{3});
+}
+
 TEST_F(queue_of_two_slots, slowness_is_relative_to_the_mean_of_all_targets)
 {
     std::uint64_t id = 0;
