Test broken responses that are rejected already, and send some in the soak

The soak's targets now also answer with the status 000, an unknown transfer coding, a blank in a name and the ids of two requests; it states each that a caller gets as an answer.

--- a/tests/process/soak_test.py
+++ b/tests/process/soak_test.py
@@ -24,6 +24,9 @@
 LARGE_REPEATS = 1_000
 # Number of faults for which lines of the logs are printed.
 MAX_EXPLAINED = 10
+# Heads that no caller may get as an answer, up to the fields of the target.
+BROKEN = {"status": b"HTTP/1.1 000 OK\r\n", "coding": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+          "name": b"HTTP/1.1 200 OK\r\nX Y: 1\r\n", "ids": b"HTTP/1.1 200 OK\r\nX-Kumquatdrift-Attempt-Id: another\r\n"}
 SERVICE_OF_NODE = ["desk", "desk", "board", "desk", "board"]
 
 
@@ -33,6 +36,7 @@
     def __init__(self, node, rng):
         self.rng = rng
         self.spoiled = set()
+        self.broken = set()  # Attempts whose only answer of this target is broken.
         self.limits = []  # (time, limit or None)
         self.told = {}  # Name of the entry node -> time of the first answer with Server-Leaving.
         self.on_request = self.answer
@@ -40,7 +44,7 @@
 
     def answer(self, handler, attempt):
         time.sleep(self.rng.uniform(0.002, 0.03))
-        fault = self.rng.choices(["", "truncated", "lost", "twice", "endless"], [96, 1, 1, 1, 1])[0]
+        fault = self.rng.choices(["", "truncated", "lost", "twice", "endless", *BROKEN], [96, 1, 1, 1, 1, *[0.5] * len(BROKEN)])[0]
         if ("Server-Leaving", "1") in self.notice and not fault:
             self.told.setdefault(attempt.split("_")[0], time.monotonic())
         if not fault:
@@ -49,6 +53,10 @@
         self.spoiled.add(attempt)
         head = ("HTTP/1.1 200 OK\r\nX-Kumquatdrift-Attempt-Id: %s\r\nX-Kumquatdrift-Response-Signature: sig\r\n" % attempt).encode()
         try:
+            if fault in BROKEN:
+                self.broken.add(attempt)
+                handler.wfile.write(head.replace(b"HTTP/1.1 200 OK\r\n", BROKEN[fault]) +
+                                    b"Content-Length: %d\r\n\r\n" % len(attempt) + attempt.encode())
             if fault == "truncated":
                 handler.wfile.write(head + b"Content-Length: 500\r\n\r\nhalf")
             if fault == "twice":
@@ -109,7 +117,9 @@
                 body, status = response.read(), response.status
             except http.client.IncompleteRead:
                 status = "cut"
-            except (OSError, http.client.HTTPException):
+            except (OSError, http.client.HTTPException) as error:
+                if isinstance(error, http.client.BadStatusLine) and not isinstance(error, OSError):
+                    status = "invalid"
                 connection.close()
                 connection = None
                 time.sleep(0.03)
@@ -191,6 +201,9 @@
                 found.append("run twice: " + what)
             if status in (408, 421, 429, 503) and runs[attempt]:
                 found.append("rejected, but run: " + what)
+            if status == "invalid" or (method == "POST" and isinstance(status, int) and status not in (502, 504) and
+                                       any(attempt in target.broken for target in self.all_targets)):
+                found.append("broken answer: " + what)
             if status == 200 and body != attempt.encode():
                 found.append("wrong body: %s %r" % (what, body[:60]))
             events = [event for when, event in self.disturbed[node.name] if sent - 8 <= when <= ended]
--- a/tests/proxy/broken_responses.cpp
+++ b/tests/proxy/broken_responses.cpp
@@ -63,6 +63,11 @@
     return {"HTTP/1.1 " + status + " OK\r\nContent-Length: 0\r\n\r\n", {}};
 }
 
+raw_answer with_field(const std::string& field)
+{
+    return {"HTTP/1.1 200 OK\r\n" + field + "\r\nContent-Length: 2\r\n\r\nok", {}};
+}
+
 raw_answer with_framing(const std::string& fields, const std::string& body)
 {
     return {"HTTP/1.1 200 OK\r\n" + fields + "\r\n" + body, {}};
@@ -83,6 +88,30 @@
                                              {"HTTP/1.1 000 X\r\n\r\n" + with_status("200").start, {}}}),
                          name_of);
 
+INSTANTIATE_TEST_SUITE_P(
+    field_names, target_with_malformed_response,
+    testing::Values(broken_case{"blank_inside", with_field("X Y: 1")},
+                    broken_case{"blank_at_the_end", with_field("X : 1")},
+                    broken_case{"tab", with_field("X\tY: 1")},
+                    broken_case{"control_byte", with_field("X\x01: 1")},
+                    broken_case{"nul", with_field(std::string{"X\0Y: 1", 6})},
+                    broken_case{"delete", with_field("X\x7f: 1")}, broken_case{"empty", with_field(": 1")},
+                    broken_case{"length_with_blank", with_framing("Content-Length : 2\r\n", "ok")},
+                    broken_case{"coding_with_blank",
+                                with_framing("Transfer-Encoding : chunked\r\n", "2\r\nok\r\n0\r\n\r\n")}),
+    name_of);
+
+INSTANTIATE_TEST_SUITE_P(
+    truncated_heads, target_with_malformed_response,
+    testing::Values(broken_case{"closed_in_the_status_line", {"HTTP/1.1 200", {}}},
+                    broken_case{"closed_after_the_status_line", {"HTTP/1.1 200 OK\r\n", {}}},
+                    broken_case{"closed_in_a_field", {"HTTP/1.1 200 OK\r\nContent-Length: 5", {}}},
+                    broken_case{"closed_before_the_blank_line",
+                                {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", {}}},
+                    broken_case{"reset_before_the_blank_line",
+                                {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", {}, raw_ending::reset}}),
+    name_of);
+
 INSTANTIATE_TEST_SUITE_P(
     codings, target_with_malformed_response,
     testing::Values(broken_case{"unknown_coding", with_framing("Transfer-Encoding: gzip\r\n", "coded")},
