Count broken responses as broken in the load generator

What could be seen: the load generator counted responses with the status 000, a blank in the name of a field, a head without its end or a chunked body without its last chunk as successes, so that a measurement through a faulty path looked clean.

Change: it reads with `http_reader`, like the gateway. A response that is not complete and valid counts as `broken`.

--- a/tests/proxy/processes.cpp
+++ b/tests/proxy/processes.cpp
@@ -11,6 +11,7 @@
 #include <Poco/Process.h>
 
 #include "proxy/mesh.hpp"
+#include "proxy/raw_target.hpp"
 
 namespace kumquatdrift {
 namespace {
@@ -102,6 +103,26 @@
     }
 }
 
+// Guards against measurements that count broken responses as successes.
+TEST_F(test_programs, load_generator_counts_broken_responses_as_broken)
+{
+    const std::string created{"HTTP/1.1 200 OK\r\n"};
+    for (const std::string& response :
+         {std::string{"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n"},
+          created + "X Y: 1\r\nContent-Length: 0\r\n\r\n", created + "Content-Length: 0\r\n",
+          created + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"}) {
+        const raw_target broken{{response, {}}};
+        child_process generator{
+            "load_generator",
+            {broken.address(), "--rate", "20", "--duration-ms", "200", "--connections", "1"}};
+        const auto result = parse(generator.read_line());
+        EXPECT_EQ(generator.wait(), 0);
+        EXPECT_EQ(result->getValue<int>("sent"), 4);
+        EXPECT_EQ(result->getValue<int>("ok"), 0) << response;
+        EXPECT_EQ(result->getObject("by_status")->optValue<int>("broken", 0), 4) << response;
+    }
+}
+
 // Guards against the verdict not_run for a request that crashed its target.
 TEST_F(test_programs, crash_of_the_target_process_may_have_run)
 {
--- a/tools/load_generator/main.cpp
+++ b/tools/load_generator/main.cpp
@@ -1,18 +1,20 @@
+#include <algorithm>
+#include <array>
 #include <atomic>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 #include <sstream>
+#include <string_view>
 #include <thread>
 #include <vector>
 
 #include <Poco/JSON/Object.h>
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
-#include <Poco/NullStream.h>
-#include <Poco/StreamCopier.h>
+#include <Poco/Net/StreamSocket.h>
 
+#include <kumquatdrift/http/message.hpp>
 #include <kumquatdrift/proxy/headers.hpp>
 
 #include "options.hpp"
@@ -22,6 +24,7 @@
 namespace {
 
 using kumquatdrift::microseconds;
+using kumquatdrift::read_progress;
 using kumquatdrift::steady_now;
 using kumquatdrift::timestamp;
 
@@ -79,64 +82,94 @@
         }
         catch (const Poco::Exception&) {
             ++this->results.by_status["broken"];
-            this->session.reset();
+            this->socket.reset();
             return false;
         }
     }
 
     bool try_call(std::uint64_t number)
     {
-        if (!this->session) {
-            this->session = std::make_unique<Poco::Net::HTTPClientSession>(this->address);
-            this->session->setKeepAlive(true);
-            this->session->setKeepAliveTimeout(Poco::Timespan{30, 0});
-            this->session->setTimeout(Poco::Timespan{this->opts.timeout.count() * 1'000});
+        if (!this->socket) {
+            this->input.clear();
+            this->socket.emplace();
+            const Poco::Timespan timeout{this->opts.timeout.count() * 1'000};
+            this->socket->connect(this->address, timeout);
+            this->socket->setSendTimeout(timeout);
+            this->socket->setReceiveTimeout(timeout);
+            this->socket->setNoDelay(true);
         }
-        Poco::Net::HTTPRequest request{this->opts.method, this->opts.path, Poco::Net::HTTPMessage::HTTP_1_1};
-        request.setHost(this->opts.host);
         const auto id = this->opts.id_prefix + std::to_string(number);
-        request.set("x-request-id", id);
+        auto lines = "Host: " + this->opts.host + "\r\nx-request-id: " + id + "\r\n";
         if (!this->opts.key_header.empty()) {
-            request.set(this->opts.key_header, id);
+            lines += this->opts.key_header + ": " + id + "\r\n";
         }
-        if (!this->body.empty() || this->opts.method != "GET") {
-            request.setContentLength64(static_cast<Poco::Int64>(this->body.size()));
+        this->send(kumquatdrift::serialize_request(this->opts.method, this->opts.path, lines, this->body));
+        return this->record_response(this->receive());
+    }
+
+    void send(std::string_view bytes)
+    {
+        while (!bytes.empty()) {
+            const auto count = this->socket->sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+            bytes.remove_prefix(static_cast<std::size_t>(std::max(count, 0)));
         }
-        auto& output = this->session->sendRequest(request);
-        output.write(this->body.data(), static_cast<std::streamsize>(this->body.size()));
-        Poco::Net::HTTPResponse response;
-        auto& input = this->session->receiveResponse(response);
-        Poco::NullOutputStream ignored;
-        const auto received = Poco::StreamCopier::copyStream64(input, ignored);
-        return this->record_response(response, received);
     }
 
-    bool record_response(const Poco::Net::HTTPResponse& response, Poco::UInt64 received)
+    // Returns the final response. Throws a Poco::Exception if it is not complete and valid.
+    kumquatdrift::http_message receive()
     {
-        const auto is_truncated = response.hasContentLength() && this->opts.method != "HEAD" &&
-                                  received < static_cast<Poco::UInt64>(response.getContentLength64());
-        if (is_truncated || this->session->networkException() != nullptr) {
-            ++this->results.by_status["broken"];
-            this->session.reset();
-            return false;
+        this->reader.reset(this->opts.method == "HEAD");
+        while (true) {
+            const auto progress = this->reader.feed(this->input);
+            if (progress == read_progress::failed) {
+                throw Poco::Net::MessageException{this->reader.failure_reason()};
+            }
+            if (progress == read_progress::complete) {
+                auto response = this->reader.take();
+                if (response.status >= kumquatdrift::min_final_status) {
+                    return response;
+                }
+                this->reader.reset(this->opts.method == "HEAD");
+                continue;
+            }
+            std::array<char, block_bytes> block{};
+            const auto count = this->socket->receiveBytes(block.data(), static_cast<int>(block.size()));
+            this->input.append(block.data(), static_cast<std::size_t>(std::max(count, 0)));
+            if (count <= 0) {
+                if (this->reader.end_of_stream() != read_progress::complete) {
+                    throw Poco::Net::MessageException{"the response is truncated"};
+                }
+                return this->reader.take();
+            }
         }
-        ++this->results.by_status[std::to_string(response.getStatus())];
-        const std::string verdict_name{kumquatdrift::verdict_header};
-        if (response.has(verdict_name)) {
-            ++this->results.by_verdict[response.get(verdict_name)];
+    }
+
+    bool record_response(const kumquatdrift::http_message& response)
+    {
+        ++this->results.by_status[std::to_string(response.status)];
+        if (const auto* verdict = kumquatdrift::find_field(response.fields, kumquatdrift::verdict_header)) {
+            ++this->results.by_verdict[*verdict];
         }
-        this->results.ok += response.getStatus() < Poco::Net::HTTPResponse::HTTP_BAD_REQUEST ? 1 : 0;
-        if (!response.getKeepAlive()) {
-            this->session.reset();
+        constexpr unsigned first_error_status = 400;
+        this->results.ok += response.status < first_error_status ? 1 : 0;
+        if (!response.keep_alive) {
+            this->socket.reset();
         }
         return true;
     }
 
+    static constexpr std::size_t block_bytes = 16 * 1024;
+    static constexpr std::size_t max_head_bytes = 64 * 1024;
+    static constexpr std::size_t max_body_bytes = 64 * 1024 * 1024;
+
     const options& opts;
     schedule& plan;
     Poco::Net::SocketAddress address;
     std::string body;
-    std::unique_ptr<Poco::Net::HTTPClientSession> session{};
+    std::optional<Poco::Net::StreamSocket> socket{};
+    std::string input{};
+    kumquatdrift::http_reader reader{kumquatdrift::http_reader::kind::response, max_head_bytes,
+                                     max_body_bytes};
     report results{};
 };
 
