State the cause of a response without a final status in a frame

A response that takes as malformed was logged with an empty cause, so that the log of the entry node did not tell a bad status from other malformed responses.

--- a/src/gateway/hop_codec.cpp
+++ b/src/gateway/hop_codec.cpp
@@ -249,15 +249,16 @@
                          ? static_cast<attempt_outcome>(message.end())
                          : attempt_outcome::lost;
     result.status = message.status();
-    if (result.outcome == attempt_outcome::answered &&
-        (result.status < min_final_status || result.status > max_status)) {
-        result.outcome = attempt_outcome::malformed;
-    }
     result.reason = std::move(*message.mutable_reason());
     result.header_lines = std::move(*message.mutable_fields());
     result.body = std::move(*message.mutable_body());
     result.time_to_free_slot = milliseconds{message.retry_after_ms()};
     result.cause = std::move(*message.mutable_cause());
+    if (result.outcome == attempt_outcome::answered &&
+        (result.status < min_final_status || result.status > max_status)) {
+        result.outcome = attempt_outcome::malformed;
+        result.cause = "node passed on status " + std::to_string(result.status);
+    }
     result.instance = std::move(*message.mutable_instance());
     result.load = decode(message.load());
     result.service_time = microseconds{message.ran_us()};
--- a/tests/gateway/hop_codec.cpp
+++ b/tests/gateway/hop_codec.cpp
@@ -165,7 +165,9 @@
         hop::Answer message{};
         message.set_end(static_cast<std::uint32_t>(attempt_outcome::answered));
         message.set_status(status);
-        EXPECT_EQ(decode(message).outcome, attempt_outcome::malformed) << status;
+        const auto result = decode(message);
+        EXPECT_EQ(result.outcome, attempt_outcome::malformed) << status;
+        EXPECT_EQ(result.cause, "node passed on status " + std::to_string(status));
     }
     for (const unsigned status : {200U, 599U}) {
         hop::Answer message{};
