Reject responses with more than one verdict in the daemon

Callers of the daemon could see: a target that answers 503 with the verdicts `not_run` and `ran` in two fields was reported as `not_run`, so that the caller may send a request again that has run.

Cause: the first field of that name counted, as with the ids of several requests.

Change: such a response is malformed: 502 with `may_have_run`. The fields of the gateway's targets state a fact by being there, so that a second one contradicts nothing.

--- a/src/proxy/outbound_request.cpp
+++ b/src/proxy/outbound_request.cpp
@@ -249,8 +249,9 @@
     }
     constexpr unsigned switching_protocols = 101;
     const auto code = this->response().result_int();
+    const boost::beast::string_view verdict_name{verdict_header.data(), verdict_header.size()};
     if (!is_valid_response(this->response()) || code == switching_protocols ||
-        this->is_response_to_another_attempt()) {
+        this->response().count(verdict_name) > 1 || this->is_response_to_another_attempt()) {
         this->fail(hop_end::malformed_answer);
         return false;
     }
@@ -261,8 +262,7 @@
     if (code >= min_final_status) {
         this->observation.end = hop_end::answered;
         this->observation.status = static_cast<std::uint16_t>(code);
-        const auto verdict_field =
-            this->response().find(boost::beast::string_view{verdict_header.data(), verdict_header.size()});
+        const auto verdict_field = this->response().find(verdict_name);
         if (verdict_field != this->response().end()) {
             this->observation.verdict_text =
                 std::string_view{verdict_field->value().data(), verdict_field->value().size()};
--- a/tests/proxy/broken_responses.cpp
+++ b/tests/proxy/broken_responses.cpp
@@ -112,6 +112,14 @@
                                 {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", {}, raw_ending::reset}}),
     name_of);
 
+INSTANTIATE_TEST_SUITE_P(verdicts, target_with_malformed_response,
+                         testing::Values(broken_case{
+                             "not_run_and_ran",
+                             {"HTTP/1.1 503 Busy\r\nx-kumquatdrift-verdict: not_run\r\n"
+                              "x-kumquatdrift-verdict: ran\r\nContent-Length: 0\r\n\r\n",
+                              {}}}),
+                         name_of);
+
 INSTANTIATE_TEST_SUITE_P(
     codings, target_with_malformed_response,
     testing::Values(broken_case{"unknown_coding", with_framing("Transfer-Encoding: gzip\r\n", "coded")},
