Reject status reports whose id, service or version can't be read

Cause: the id was taken from the query without a check, the leave of the target was recorded as JSON, and the encoder throws on such bytes, which nothing on the event loop catches (type_error 316, shown by encoded_records on the former decode.cpp).

Service and version have no control characters.

--- a/tests/platform/decode.cpp
+++ b/tests/platform/decode.cpp
@@ -152,6 +152,47 @@
     }
 }
 
+// Guards against a report of another writer that ends the process when the leave of its target is recorded.
+TEST(decoded_report, id_that_is_no_visible_text_is_rejected)
+{
+    for (const auto* call : {"heartbeat", "deregister"}) {
+        for (const std::string id : {"i-\xff\xfe\x80", "i-\xc3\xa9", "i-\x01", "i-\x7f"}) {
+            auto request =
+                report_request(call, R"({"service":"s1","slots":12,"state":"draining","sequence":4})");
+            request.target = std::string{"/rpc?call=instances."} + call + "&of=" + id;
+            EXPECT_FALSE(decode_report(request)) << call << " " << id;
+        }
+    }
+    auto request = report_request("deregister", "");
+    request.target += std::string(300, 'x');
+    EXPECT_FALSE(decode_report(request));
+}
+
+// Guards against texts of another writer that get into the log and into other nodes' records.
+TEST(decoded_report, service_or_version_with_control_characters_is_rejected)
+{
+    for (const std::string text : {R"(s\u0000)", R"(s\r\nX: 1)", R"(\u007f)", "\xff"}) {
+        EXPECT_FALSE(decode_report(
+            report_request("heartbeat", R"({"slots":12,"state":"ready","service":")" + text + "\"}")));
+        EXPECT_FALSE(decode_report(report_request(
+            "heartbeat", R"({"slots":12,"state":"ready","service":"s1","version":")" + text + "\"}")));
+    }
+    EXPECT_TRUE(decode_report(
+        report_request("heartbeat", R"({"slots":12,"state":"ready","service":"\u017d1","version":"v 2"})")));
+}
+
+// Guards against an exception of the encoder, which ends the process.
+TEST(encoded_records, bytes_that_are_no_utf8_are_replaced)
+{
+    EXPECT_TRUE(decode_leave(encode_leave({"i-\xff", true, 0, 0.0, 7})));
+    member_record record{};
+    record.node = "node-\xff";
+    record.ip = "10.0.0.9";
+    record.port = 80;
+    record.service = "\xfe";
+    EXPECT_TRUE(decode_member(encode_member(record)));
+}
+
 TEST(decoded_leave, is_as_it_was_encoded)
 {
     const auto leave = decode_leave(encode_leave({"i-7", true, 0, 0.0, 1'768'629'288'033}));
