Use a target again that starts anew with the same id and start

Cause: two starts of one id that state the same time were taken for one incarnation. The leave of the first, remembered by the store and by other nodes, bound the second, and beside a running node the sequence numbers, which start anew, made each report `outdated`: acknowledged, not applied.

report_order now recognizes the later incarnation by a sequence number that fell, once its reports go on while the known one is silent. After a leave the liveness check has to pass as well, which a target that leaves fails, so that late reports bring none back. It gets a start above all known under its id; other nodes and recorded leaves need no rule of their own. Records and memories have the last sequence number for that. Related: a start below that of a remembered leave, two ids with one start, a leave below the known sequence that was acknowledged and dropped, a leave stated by a former process of the node with the same start, and the path of the liveness check, which stayed that of the first configuration.

--- a/include/kumquatdrift/mesh/members.hpp
+++ b/include/kumquatdrift/mesh/members.hpp
@@ -47,6 +47,16 @@
     }};
 };
 
+/**
+ * @brief Checks whether a state is one that an incarnation doesn't return from.
+ * @param state State.
+ * @return True if the target drains or has deregistered.
+ */
+[[nodiscard]] constexpr bool is_leave(report_state state) noexcept
+{
+    return state == report_state::draining || state == report_state::gone;
+}
+
 /**
  * @brief Checks whether two stated identities can be those of the same incarnation.
  * @param instance Id of the first.
@@ -122,6 +132,11 @@
     double limit{};
     /*! @brief Start of the incarnation in Unix milliseconds; 0 if unknown. */
     std::uint64_t started_ms{};
+    /*! @brief Random number of the process that stated the leave; 0 if unknown. */
+    std::uint32_t left_stated_by_nonce{};
+    /*! @brief Sequence number of the last known report of the incarnation; 0 if unknown. Lower ones are late,
+     * or of a later incarnation. */
+    std::uint64_t sequence{};
 };
 
 /*! @brief State that a node publishes about itself and its target. */
@@ -161,6 +176,10 @@
     std::uint64_t target_started_ms{};
     /*! @brief Version of its target's software; empty if that is unknown. */
     std::string version{};
+    /*! @brief Random number of the process, which tells two with the same start apart; 0 if unknown. */
+    std::uint32_t process_nonce{};
+    /*! @brief Sequence number of the last report of its target; 0 if unknown. */
+    std::uint64_t target_sequence{};
 };
 
 /*! @brief View that this node has of another node. */
--- a/include/kumquatdrift/mesh/report_order.hpp
+++ b/include/kumquatdrift/mesh/report_order.hpp
@@ -24,8 +24,12 @@
     leave,
     /*! @brief Older than one that has been applied. */
     outdated,
-    /*! @brief Of an incarnation with an earlier start: either late, or of a target whose clock went back. */
+    /*! @brief Either late, or of a target whose start doesn't order it, because its clock is coarse or went
+     * back. */
     undecided,
+    /*! @brief Of a later incarnation under the id and the start of the known one: its sequence numbers
+     * started anew and went on. */
+    restarted,
     /*! @brief Without a start, although targets of this host state theirs; it names no target. */
     nameless,
 };
@@ -34,12 +38,13 @@
 template<>
 struct enum_names<report_order> {
     /*! @brief Pairs of enumerator and name. */
-    static constexpr std::array<std::pair<report_order, std::string_view>, 6> table{{
+    static constexpr std::array<std::pair<report_order, std::string_view>, 7> table{{
         {report_order::newer, "newer"},
         {report_order::replaces, "replaces"},
         {report_order::leave, "leave"},
         {report_order::outdated, "outdated"},
         {report_order::undecided, "undecided"},
+        {report_order::restarted, "restarted"},
         {report_order::nameless, "nameless"},
     }};
 };
@@ -50,15 +55,17 @@
     bool start_stated{};
     /*! @brief Time of the last report of the known incarnation; nothing before the first. */
     std::optional<timestamp> known_at{};
-    /*! @brief An incarnation with an earlier start than the known one, whose reports arrive. */
-    struct earlier_incarnation {
+    /*! @brief An incarnation that may be later than the known one, although its start isn't. */
+    struct contending_incarnation {
         std::string instance{};
         std::uint64_t started_ms{};
         std::uint64_t sequence{};
         timestamp since{};
+        /*! @brief Time of its last report. */
+        timestamp at{};
     };
     /*! @brief The last such incarnation; nothing if the known one has reported since. */
-    std::optional<earlier_incarnation> contender{};
+    std::optional<contending_incarnation> contender{};
 };
 
 /**
@@ -68,7 +75,8 @@
  */
 [[nodiscard]] constexpr bool is_applied(report_order order) noexcept
 {
-    return order == report_order::newer || order == report_order::replaces || order == report_order::leave;
+    return order == report_order::newer || order == report_order::replaces || order == report_order::leave ||
+           order == report_order::restarted;
 }
 
 /**
@@ -82,11 +90,22 @@
     return is_applied(order) || order == report_order::outdated;
 }
 
+/**
+ * @brief Records that the report in force is either late or of an incarnation after one that has left, whose
+ * last sequence number wasn't known when it was ordered.
+ * @param history What has been observed; updated.
+ * @param known Report in force; gets the sequence number of the incarnation that left.
+ * @param left_sequence That number.
+ * @param now Current time.
+ */
+void contest_known(report_history& history, target_report& known, std::uint64_t left_sequence, timestamp now);
+
 /**
  * @brief Decides what a report is relative to those that have been applied.
  *
- * An incarnation with an earlier start replaces the known one only if it goes on reporting while the known
- * one is silent: a late report does not repeat itself.
+ * An incarnation whose start is not later replaces the known one only if it goes on reporting while the known
+ * one is silent: a late report does not repeat itself. Under the same id and start, a sequence number that
+ * fell is what tells a later incarnation; its reports are those that follow as fast as reports are sent.
  *
  * @param history What has been observed; updated.
  * @param known Report in force; its `instance` is empty if there is none.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -172,6 +172,8 @@
         own.load = this->local_target.load();
         own.store_generation = this->resets.generation();
         own.version = report.version;
+        own.process_nonce = this->process_nonce;
+        own.target_sequence = report.sequence;
         return own;
     }
 
@@ -233,7 +235,11 @@
             return;
         }
         const auto service = this->config->services.find(this->settings.service);
-        if (service != this->config->services.end() && !std::exchange(this->health_requested, true)) {
+        if (service == this->config->services.end()) {
+            return;
+        }
+        this->local_target.set_liveness_path(service->second.health_path);
+        if (!std::exchange(this->health_requested, true)) {
             this->local_target.check_health(this->settings.service, service->second.health_path);
         }
     }
@@ -340,6 +346,7 @@
         if (const auto target = parse_address(this->settings.target_address)) {
             this->local_target.set_address(*target);
         }
+        this->check_target_health();
         this->log.write(log_level::info, event_class::state, "gateway", "reloaded",
                         "cause={} service={} target={} needs_restart={}", cause, this->settings.service,
                         this->settings.target_address, needs_restart);
@@ -455,6 +462,7 @@
     boost::asio::signal_set signals{this->loop.context(), SIGTERM, SIGINT, SIGHUP};
     mesh_config_ptr config{};
     std::uint64_t started_ms{unix_ms()};
+    std::uint32_t process_nonce{std::uniform_int_distribution<std::uint32_t>{1}(this->rng)};
     std::uint64_t last_revision{};
     std::optional<timestamp> stopping_since{};
     std::optional<timestamp> listening_ended{};
--- a/src/gateway/hop_codec.cpp
+++ b/src/gateway/hop_codec.cpp
@@ -101,12 +101,16 @@
     message.set_left_stated_by_ms(memory.left_stated_by_ms);
     message.set_limit_per_1000_s(encode_limit(memory.limit));
     message.set_started_ms(memory.started_ms);
+    message.set_left_stated_by_nonce(memory.left_stated_by_nonce);
+    message.set_sequence(memory.sequence);
 }
 
 target_memory decode(const hop::TargetMemory& message)
 {
-    return {message.instance(), message.left(), message.left_stated_by_ms(),
-            message.limit_per_1000_s() / limit_unit_s, message.started_ms()};
+    return {message.instance(),          message.left(),
+            message.left_stated_by_ms(), message.limit_per_1000_s() / limit_unit_s,
+            message.started_ms(),        message.left_stated_by_nonce(),
+            message.sequence()};
 }
 
 target_load decode(const hop::Load& message)
@@ -153,6 +157,8 @@
         message.set_store_generation(*record.store_generation);
     }
     message.set_version(record.version);
+    message.set_process_nonce(record.process_nonce);
+    message.set_target_sequence(record.target_sequence);
 }
 
 std::optional<member_record> decode(const hop::Member& message)
@@ -180,7 +186,9 @@
                          message.has_store_generation() ? std::optional{message.store_generation()}
                                                         : std::nullopt,
                          message.target_started_ms(),
-                         message.version()};
+                         message.version(),
+                         message.process_nonce(),
+                         message.target_sequence()};
 }
 
 void encode(const target_request& request, timestamp now, hop::Run& message)
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -170,7 +170,8 @@
 {
     this->on_member_record(link, hello.self());
     if (hello.has_remembered()) {
-        this->shared.host.restore(decode(hello.remembered()), this->self().started_ms);
+        const auto own = this->self();
+        this->shared.host.restore(decode(hello.remembered()), own.started_ms, own.process_nonce);
     }
     if (hello.known_size() > 0) {
         this->next_members_query = boot_now() + members_query_interval;
--- a/src/gateway/target_host.hpp
+++ b/src/gateway/target_host.hpp
@@ -92,6 +92,15 @@
      */
     [[nodiscard]] std::optional<target_memory> take_unrecorded_leave();
 
+    /**
+     * @brief Sets the path of the liveness check.
+     * @param path Path; empty if there is none.
+     */
+    void set_liveness_path(const std::string& path)
+    {
+        this->liveness_path = path;
+    }
+
     /**
      * @brief Requests the target's health if no report has arrived; called after a start of this node.
      * @param service Service of the target.
@@ -162,8 +171,9 @@
      * arrive before the first report of the target.
      * @param memory What the other node remembers.
      * @param started_ms Start of this process in Unix milliseconds.
+     * @param nonce Random number of this process.
      */
-    void restore(const target_memory& memory, std::uint64_t started_ms);
+    void restore(const target_memory& memory, std::uint64_t started_ms, std::uint32_t nonce = 0);
 
     /**
      * @brief Expires queued requests and notices a silent target; called on each tick of the event loop.
@@ -201,11 +211,17 @@
     void on_response(std::uint64_t id, call_result call);
     void on_notice(const http_message& response, timestamp sent_at, std::uint64_t sent_to);
     void log_limit(const std::string& cause);
-    [[nodiscard]] bool apply_memory();
+    [[nodiscard]] std::optional<std::uint64_t> apply_memory();
+    void contest_current(std::uint64_t left_sequence);
     bool remember(const target_memory& memory);
     void request_health(const std::string& health_path,
                         std::function<void(std::optional<target_health>)> done);
     void verify_held();
+    void begin_incarnation();
+    void use_address(const target_report& report);
+    void apply(const target_report& report, report_state state, bool is_new);
+    void verify_restarted(const target_report& report);
+    void accept_restarted(target_report report);
     [[nodiscard]] attempt_result classify(const target_request& request, call_result& call) const;
     void reject(std::uint64_t id, const std::string& cause);
     void complete(std::uint64_t id, attempt_result result);
@@ -228,6 +244,11 @@
     /*! @brief Time of the last report or liveness check. */
     std::optional<timestamp> last_report_at{};
     report_history reports{};
+    /*! @brief Start that the reports of the current incarnation state. Its `started_ms` is later if another
+     * incarnation with this id and start has left. */
+    std::uint64_t stated_start_ms{};
+    /*! @brief True while a liveness check decides whether the target has been started again. */
+    bool verifies_restart{};
     timestamp last_response_at{};
     /*! @brief Time until which the recorded leaves are awaited; nothing once they have been read. */
     std::optional<timestamp> await_leaves_until{};
--- a/src/gateway/target_notices.cpp
+++ b/src/gateway/target_notices.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include <kumquatdrift/core/boot_clock.hpp>
 
@@ -61,18 +62,29 @@
                            this->requests_sent.value());
 }
 
-void target_host::restore(const target_memory& memory, std::uint64_t started_ms)
+void target_host::restore(const target_memory& memory, std::uint64_t started_ms, std::uint32_t nonce)
 {
     auto relevant = memory;
-    // What this process has stated itself is no news to it.
-    relevant.left = memory.left && memory.left_stated_by_ms != started_ms;
+    // What this process has stated itself is no news to it. Nodes of earlier builds return no nonce.
+    relevant.left =
+        memory.left && (memory.left_stated_by_ms != started_ms ||
+                        (memory.left_stated_by_nonce != nonce && memory.left_stated_by_nonce != 0));
     this->remember(relevant);
     this->reports.start_stated = this->reports.start_stated || memory.started_ms > 0;
-    if (this->apply_memory() && (this->current.state == report_state::ready || this->is_held)) {
+    const auto left_sequence = this->apply_memory();
+    if (left_sequence && (this->current.state == report_state::ready || this->is_held)) {
+        this->contest_current(*left_sequence);
         this->set_state(report_state::draining, "remembered");
     }
 }
 
+void target_host::contest_current(std::uint64_t left_sequence)
+{
+    if (this->current.started_ms > 0 && this->current.sequence <= left_sequence) {
+        contest_known(this->reports, this->current, left_sequence, boot_now());
+    }
+}
+
 bool target_host::remember(const target_memory& memory)
 {
     const auto known =
@@ -82,6 +94,7 @@
     if (known != this->memories.end()) {
         const auto is_news = memory.left && !known->left;
         known->left = known->left || memory.left;
+        known->sequence = std::max(known->sequence, memory.sequence);
         known->limit = memory.limit;
         return is_news;
     }
@@ -92,23 +105,31 @@
     return memory.left;
 }
 
-bool target_host::apply_memory()
+std::optional<std::uint64_t> target_host::apply_memory()
 {
-    auto has_left = false;
+    std::optional<std::uint64_t> left_sequence{};
     for (auto& memory : this->memories) {
-        if (!is_same_incarnation(memory.instance, memory.started_ms, this->current.instance,
-                                 this->current.started_ms)) {
+        const auto is_same = is_same_incarnation(memory.instance, memory.started_ms, this->current.instance,
+                                                 this->current.started_ms);
+        // After the leave of a later incarnation, each report of an earlier start is late, or the clock went
+        // back.
+        const auto is_earlier = !is_same && memory.instance == this->current.instance &&
+                                this->current.started_ms < memory.started_ms;
+        if (memory.left && (is_same || is_earlier)) {
+            const auto sequence = is_same ? memory.sequence : std::numeric_limits<std::uint64_t>::max();
+            left_sequence = std::max(left_sequence.value_or(0), sequence);
+        }
+        if (!is_same) {
             continue;
         }
         // What was stated without a start concerns the incarnation in force, and no later one.
         memory.started_ms = std::max(memory.started_ms, this->current.started_ms);
-        has_left = has_left || memory.left;
         if (memory.limit > 0.0) {
             this->queue.limit().restore(memory.limit, boot_now());
             this->log_limit("remembered");
         }
     }
-    return has_left;
+    return left_sequence;
 }
 
 } // namespace kumquatdrift
--- a/src/gateway/target_state.cpp
+++ b/src/gateway/target_state.cpp
@@ -19,8 +19,9 @@
 {
     this->is_held = stated == report_state::ready && this->await_leaves_until.has_value();
     const auto state = this->is_held ? report_state::unknown : stated;
-    if (cause != "remembered" && (state == report_state::draining || state == report_state::gone)) {
-        const target_memory leave{this->current.instance, true, 0, 0.0, this->current.started_ms};
+    if (cause != "remembered" && is_leave(state)) {
+        const target_memory leave{this->current.instance, true, 0, 0.0, this->current.started_ms, 0,
+                                  this->current.sequence};
         if (this->remember(leave)) {
             this->unrecorded_leave = leave;
         }
@@ -44,7 +45,7 @@
 
 void target_host::check_health(const std::string& service, const std::string& health_path)
 {
-    this->liveness_path = health_path;
+    this->set_liveness_path(health_path);
     if (this->last_report_at || health_path.empty()) {
         return;
     }
@@ -100,6 +101,9 @@
     }
     if (std::exchange(this->is_held, false)) {
         const auto has_left = this->apply_memory();
+        if (has_left) {
+            this->contest_current(*has_left);
+        }
         this->set_state(has_left ? report_state::draining : report_state::ready,
                         has_left ? "remembered" : "leaves_read");
     }
--- a/src/mesh/members.cpp
+++ b/src/mesh/members.cpp
@@ -16,15 +16,18 @@
         memory = {record.instance, false, 0, 0.0, record.target_started_ms};
     }
     memory.started_ms = std::max(memory.started_ms, record.target_started_ms);
+    memory.sequence = std::max(memory.sequence, record.target_sequence);
     const auto left =
         record.load.left || record.state == report_state::draining || record.state == report_state::gone;
     // A restarted process may not know that the target has left. The process that stated it may know of a
     // later incarnation with the same id.
     const auto is_later_incarnation = record.started_ms == memory.left_stated_by_ms &&
+                                      record.process_nonce == memory.left_stated_by_nonce &&
                                       record.load.slots > 0 && record.state == report_state::ready;
     if (left || is_later_incarnation) {
         memory.left = left;
         memory.left_stated_by_ms = record.started_ms;
+        memory.left_stated_by_nonce = record.process_nonce;
     }
     if (record.load.limit) {
         memory.limit = *record.load.limit;
--- a/tests/gateway/hop_codec.cpp
+++ b/tests/gateway/hop_codec.cpp
@@ -156,6 +156,27 @@
     EXPECT_TRUE(decoded.left);
     EXPECT_EQ(decoded.left_stated_by_ms, 1'700U);
     EXPECT_DOUBLE_EQ(decoded.limit, 6.5);
+    EXPECT_EQ(decoded.sequence, 0U);
+}
+
+TEST(hop_memory, round_trip_keeps_who_stated_the_leave_and_the_last_sequence)
+{
+    hop::TargetMemory message{};
+    encode(target_memory{"i-1", true, 1'700, 0.0, 1'600, 77, 12}, message);
+    const auto decoded = decode(message);
+    EXPECT_EQ(decoded.started_ms, 1'600U);
+    EXPECT_EQ(decoded.left_stated_by_nonce, 77U);
+    EXPECT_EQ(decoded.sequence, 12U);
+    member_record record{};
+    record.node = "n";
+    record.ip = "10.0.0.9";
+    record.port = 80;
+    record.process_nonce = 78;
+    record.target_sequence = 13;
+    hop::Member member{};
+    encode(record, member);
+    EXPECT_EQ(decode(member)->process_nonce, 78U);
+    EXPECT_EQ(decode(member)->target_sequence, 13U);
 }
 
 // Guards against a status that a faulty or older node passes on.
--- a/tests/mesh/members.cpp
+++ b/tests/mesh/members.cpp
@@ -191,6 +191,33 @@
     EXPECT_TRUE(this->node().accepts_requests());
 }
 
+// Guards against a restarted process that is taken for the one which stated the leave, because its clock is
+// coarse.
+TEST_F(node_with_leaving_target, is_not_used_again_when_another_process_with_the_same_start_calls_it_ready)
+{
+    auto record = record_of(1'000, 6);
+    record.instance = "i-5";
+    record.state = report_state::ready;
+    record.load.slots = 2;
+    record.process_nonce = 7;
+    (void)this->table.merge(record, member_table::origin::link, now);
+    EXPECT_FALSE(this->node().accepts_requests());
+}
+
+TEST_F(node_with_leaving_target, remembers_the_last_sequence_number_of_the_incarnation)
+{
+    auto record = record_of(1'000, 6);
+    record.instance = "i-5";
+    record.state = report_state::gone;
+    record.target_sequence = 12;
+    (void)this->table.merge(record, member_table::origin::link, now);
+    EXPECT_EQ(this->node().memory.sequence, 12U);
+    this->state_leaving(2'000, "i-5", 0);
+    EXPECT_EQ(this->node().memory.sequence, 12U);
+    this->state_leaving(2'000, "i-6", 0);
+    EXPECT_EQ(this->node().memory.sequence, 0U);
+}
+
 TEST_F(members, target_that_leaves_according_to_a_load_is_not_used)
 {
     auto record = record_of(1'000, 5);
--- a/tests/platform/decode.cpp
+++ b/tests/platform/decode.cpp
@@ -195,11 +195,16 @@
 
 TEST(decoded_leave, is_as_it_was_encoded)
 {
-    const auto leave = decode_leave(encode_leave({"i-7", true, 0, 0.0, 1'768'629'288'033}));
+    const auto leave = decode_leave(encode_leave({"i-7", true, 0, 0.0, 1'768'629'288'033, 0, 12}));
     ASSERT_TRUE(leave) << leave.last_reason();
     EXPECT_EQ(leave->instance, "i-7");
     EXPECT_TRUE(leave->left);
     EXPECT_EQ(leave->started_ms, 1'768'629'288'033U);
+    EXPECT_EQ(leave->sequence, 12U);
+    // Nodes of earlier builds record no sequence number.
+    const auto earlier = decode_leave(R"({"instance":"i-7","target_started_ms":7})");
+    ASSERT_TRUE(earlier) << earlier.last_reason();
+    EXPECT_EQ(earlier->sequence, 0U);
     EXPECT_FALSE(decode_leave("7"));
 }
 
--- a/tests/process/gateway_standins.py
+++ b/tests/process/gateway_standins.py
@@ -194,14 +194,14 @@
     on_request = None
     on_head = None
 
-    def __init__(self, ip, reports_address, service, slots=4, version="v1"):
-        self.instance = "i-%s-%d" % (ip, time.monotonic_ns())
+    def __init__(self, ip, reports_address, service, slots=4, version="v1", instance=None, born=None):
+        self.instance = instance or "i-%s-%d" % (ip, time.monotonic_ns())
         self.reports_address = reports_address
         self.service = service
         self.version = version
         self.slots = slots
         self.sequence = 0
-        self.born = int(time.time() * 1000)
+        self.born = born or int(time.time() * 1000)
         self.executions = []
         self.max_concurrency = 0
         self.in_flight = 0
--- a/tests/process/soak_test.py
+++ b/tests/process/soak_test.py
@@ -53,14 +53,15 @@
 class SoakTarget(Target):
     """A target that spoils some answers. `limits` and `told` record what it has stated, and when."""
 
-    def __init__(self, node, rng):
+    def __init__(self, node, rng, former=None):
         self.rng = rng
         self.spoiled = set()
         self.broken = set()  # Attempts whose only answer of this target is broken.
         self.limits = []  # (time, limit or None)
-        self.told = {}  # Name of the entry node -> time of the first answer with Server-Leaving.
+        self.told = {}  # Name of the entry node -> time of the first answer with Server-Leaving, or of its acknowledgement.
         self.on_request = self.answer
-        super().__init__(node.ip, node.reports, node.settings["service"], slots=8)
+        super().__init__(node.ip, node.reports, node.settings["service"], slots=8,
+                         instance=former and former.instance, born=former and former.born)
 
     def answer(self, handler, attempt):
         time.sleep(self.rng.uniform(0.002, 0.03))
@@ -173,7 +174,7 @@
             self.disturbed[node.name].append((time.monotonic(), event))
 
     def disturb_target(self, index, rng):
-        """Makes a target name limits, and replaces it with another one after it has left."""
+        """Makes a target name limits, and lets it leave and start again, under its id and start or under others."""
         while not self.stop.wait(rng.uniform(0.5, 3)):
             target = self.targets[index]
             event = rng.choice(["limit", "limit", "limit", "none", "leave"])
@@ -183,10 +184,17 @@
             elif event == "none":
                 target.name_limit(None)
             else:
-                target.notice = [("Server-Leaving", "1")]
+                if rng.random() < 0.5:
+                    target.notice = [("Server-Leaving", "1")]
+                else:
+                    target.state = "draining"
+                    if target.report():
+                        target.told.setdefault(self.nodes[index].name, time.monotonic())
                 self.stop.wait(DRAIN_S + rng.uniform(0.5, 2))
                 target.crash()
-                self.targets[index] = SoakTarget(self.nodes[index], random.Random(rng.random()))
+                # The next one may start within the resolution of its clock.
+                former = target if rng.random() < 0.5 else None
+                self.targets[index] = SoakTarget(self.nodes[index], random.Random(rng.random()), former)
                 self.all_targets.append(self.targets[index])
 
     def change_configuration(self, rng):
--- a/tests/process/target_reports_test.py
+++ b/tests/process/target_reports_test.py
@@ -2,13 +2,15 @@
 
 import json
 import pathlib
+import signal
 import socket
 import sys
 import unittest
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
-from gateway_test import GatewayTest  # noqa: E402
+from gateway_standins import Target  # noqa: E402
+from gateway_test import GatewayTest, wait_until  # noqa: E402
 
 
 class GatewayTargetReports(GatewayTest):
@@ -27,6 +29,25 @@
         self.assertEqual(node.call()[0], 200)
         self.assertNotIn("before=ready cause=new_instance", node.log())
 
+    # Guards against a leave that binds each later start of a target whose clock shows the same time again.
+    def test_target_that_starts_again_under_its_id_and_start_is_used_again(self):
+        node, target = self.nodes[2], self.targets[2]
+        for restarts_node in (False, True):
+            target.state = "draining"
+            self.assertTrue(target.report())
+            self.assertTrue(target.deregister())
+            target.crash()
+            wait_until(lambda: self.nodes[0].call(path="/board/x")[0] == 503, "the leave is known")
+            if restarts_node:
+                node.signal(signal.SIGTERM)
+                node.process.wait()
+                node.start()
+                wait_until(node.is_ready, node.name + " is ready")
+            target = Target(node.ip, node.reports, "board", instance=target.instance, born=target.born)
+            self.targets.append(target)
+            for caller in self.nodes:
+                wait_until(lambda: caller.call(path="/board/x")[0] == 200, caller.name + " uses the restarted target")
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
