Tell the processes of a daemon apart whose clock shows the same time

A process that reads the same time as its predecessor is ignored until its sequence passes the former one, and takes the former record of itself for a forged one (by reading accept_record and accept_own_record; the rule itself is unchanged).

The start time now has a random part below a second. If it is below that of the predecessor, the node raises it when it meets that record, as after a clock that went back.

--- a/src/node/mapping.cpp
+++ b/src/node/mapping.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <random>
 #include <string>
 
 #include <Poco/Net/SocketAddress.h>
@@ -61,10 +62,17 @@
     return membership;
 }
 
+std::uint64_t make_start_time(std::uint64_t epoch_us, random_engine& rng)
+{
+    constexpr std::uint64_t us_per_s = 1'000'000;
+    return epoch_us + std::uniform_int_distribution<std::uint64_t>{0, us_per_s - 1}(rng);
+}
+
 member_identity identity_of(const daemon_settings& settings)
 {
+    random_engine rng{std::random_device{}()};
     return {settings.node, settings.data_centre, settings.ip,
-            static_cast<std::uint16_t>(settings.gossip_port), epoch_now_us()};
+            static_cast<std::uint16_t>(settings.gossip_port), make_start_time(epoch_now_us(), rng)};
 }
 
 distribution_settings distribution_settings_of(const daemon_settings& settings)
