Serialize the head of an answer before its body is moved

Cause: the head was serialized in the arguments of a call that moves the body away. The order of arguments is unspecified, and gcc on x86-64 moves first. The head now has a statement of its own. A script listed all calls whose arguments move from a variable that another one reads; the two others read what a move leaves as it is, or are passed by reference.

--- a/src/gateway/http_session.hpp
+++ b/src/gateway/http_session.hpp
@@ -86,7 +86,9 @@
             this->connection->send(serialize_response(response, last, is_head));
         }
         else {
-            this->connection->send(serialize_response_head(response, last), std::move(response.body));
+            // Arguments of one call are evaluated in any order, and the head states the length of the body.
+            auto head = serialize_response_head(response, last);
+            this->connection->send(std::move(head), std::move(response.body));
         }
         this->exchange->session.reset();
         this->exchange.reset();
--- a/tests/gateway/http_server.cpp
+++ b/tests/gateway/http_server.cpp
@@ -42,6 +42,21 @@
         return output;
     }
 
+    /*! @brief Reads until the peer closes the connection and returns the bytes. */
+    [[nodiscard]] std::string read_to_end(boost::asio::ip::tcp::socket& socket)
+    {
+        std::string output{};
+        socket.non_blocking(true);
+        EXPECT_TRUE(this->world.run_until([&] {
+            std::string chunk(65'536, ' ');
+            boost::system::error_code error{};
+            chunk.resize(socket.read_some(boost::asio::buffer(chunk), error));
+            output += chunk;
+            return error && error != boost::asio::error::would_block;
+        }));
+        return output;
+    }
+
     static void write(boost::asio::ip::tcp::socket& socket, const std::string& text)
     {
         boost::asio::write(socket, boost::asio::buffer(text));
@@ -194,6 +209,27 @@
     EXPECT_TRUE(this->read(busy).starts_with("HTTP/1.1 200 "));
 }
 
+// Guards against a head that is made after its body was moved away and says `Content-Length: 0`.
+TEST_F(http_server_with_body_limit, answer_of_each_size_is_framed_by_its_own_length)
+{
+    for (const auto size : {0U, 1U, 16'383U, 16'384U, 16'385U, 90'000U, 1'000'000U}) {
+        for (const std::string method : {"GET", "HEAD"}) {
+            const std::string body(size, 'x');
+            auto caller = this->connect();
+            write(caller, method + " / HTTP/1.1\r\nConnection: close\r\n\r\n");
+            const auto count = this->received.size() + 1;
+            EXPECT_TRUE(this->world.run_until([&] { return this->received.size() == count; }));
+            this->received.back()->respond({200, "", "", body});
+            const auto output = this->read_to_end(caller);
+            const auto end_of_head = output.find("\r\n\r\n");
+            ASSERT_NE(end_of_head, std::string::npos) << size << output.substr(0, 200);
+            EXPECT_NE(output.find("\r\nContent-Length: " + std::to_string(size) + "\r\n"), std::string::npos)
+                << method << size << output.substr(0, end_of_head);
+            EXPECT_EQ(output.substr(end_of_head + 4), method == "GET" ? body : "") << method << size;
+        }
+    }
+}
+
 TEST_F(http_server_with_body_limit, malformed_request_gets_400_and_the_connection_is_closed)
 {
     auto caller = this->connect();
--- a/tests/process/gateway_test.py
+++ b/tests/process/gateway_test.py
@@ -162,6 +162,18 @@
         executions = [execution for execution in self.targets[2].executions if execution[0] == "id-1"]
         self.assertEqual([(execution[2], execution[3]) for execution in executions], [("desk", b"hello")])
 
+    # Guards against long answers that say `Content-Length: 0`, from the target of the node itself and of another one.
+    def test_answer_of_each_size_arrives_whole_and_is_framed_by_its_length(self):
+        for size in (0, 1, 16383, 16384, 16385, 90000, 1000000):
+            body = os.urandom(size)
+            for target in self.targets:
+                target.on_request = lambda handler, attempt, body=body: handler.respond(attempt, body) or True
+            for node in self.nodes:
+                for path in ("/read/x", "/board/x"):
+                    status, received, fields = node.call(path=path)
+                    self.assertEqual((status, fields["Content-Length"]), (200, str(size)))
+                    self.assertEqual(received, body)
+
     def test_unknown_route_gets_404_and_known_route_200(self):
         self.assertEqual(self.nodes[0].call(path="/nowhere/x")[0], 404)
         self.assertEqual(self.nodes[0].call(path="/read/x")[0], 200)
