Allow a late report no more time to pass for one of a later incarnation

After a late report, the target's own next one was taken for that of a later incarnation if it came 1.5 intervals after the late one: the time was rounded. The intervals now count by a quarter more at most, which is how early a report may come.

--- a/src/mesh/report_order.cpp
+++ b/src/mesh/report_order.cpp
@@ -1,7 +1,6 @@
 #include <kumquatdrift/mesh/report_order.hpp>
 
 #include <algorithm>
-#include <cmath>
 
 namespace kumquatdrift {
 namespace {
@@ -13,6 +12,9 @@
  * one. */
 constexpr double min_contending_intervals = 0.5;
 
+/*! @brief Time by which the interval between two reports may be shorter, in report intervals. */
+constexpr double report_jitter_intervals = 0.25;
+
 microseconds scaled(microseconds interval, double count)
 {
     return std::chrono::duration_cast<microseconds>(interval * count);
@@ -53,9 +55,10 @@
         report.sequence <= contender->sequence) {
         return false;
     }
-    const auto intervals = std::llround(std::chrono::duration<double>{now - contender->at} /
-                                        std::chrono::duration<double>{interval});
-    return report.sequence - contender->sequence <= static_cast<std::uint64_t>(std::max(intervals, 1LL));
+    const auto intervals =
+        std::chrono::duration<double>{now - contender->at} / std::chrono::duration<double>{interval};
+    return static_cast<double>(report.sequence - contender->sequence) <=
+           std::max(intervals + report_jitter_intervals, 1.0);
 }
 
 /*! @brief Orders a report with the id and the start of the known one. */
--- a/tests/mesh/report_order.cpp
+++ b/tests/mesh/report_order.cpp
@@ -180,6 +180,10 @@
     EXPECT_EQ(this->order(5'000, 11, 3.0), report_order::newer);
     this->known.sequence = 11;
     EXPECT_EQ(this->order(5'000, 12, 4.0), report_order::newer);
+    this->known.sequence = 12;
+    // The next one is late as well.
+    EXPECT_EQ(this->order(5'000, 11, 4.1), report_order::outdated);
+    EXPECT_EQ(this->order(5'000, 13, 5.7), report_order::newer);
 }
 
 // Guards against a late report that holds up the next incarnation until its sequence numbers are higher.
